Add design, build skeleton, base and codec libraries

Cause: the repository was empty; every later part needs the same types, messages and checks. Conclusion: the libraries named in the design can now be written side by side.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# Thin front end over CMake; see src/cmake/ for the build rules.
+BUILD ?= build
+TYPE ?= RelWithDebInfo
+
+.PHONY: all packages configure build test check-spec demo bench capacity soak format lint clean
+
+all: build
+
+packages:
+	@scripts/install_packages.sh
+
+configure: packages
+	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=$(TYPE) >$(BUILD).configure.log 2>&1 \
+		|| (cat $(BUILD).configure.log; exit 1)
+	@rm -f $(BUILD).configure.log
+
+build: configure
+	@cmake --build $(BUILD)
+
+test: build
+	@scripts/run_tests.sh $(BUILD)
+
+format:
+	@git ls-files -z -- '*.cpp' '*.hpp' | xargs -0 clang-format -i
+
+lint: build
+	@scripts/run_linter.sh $(BUILD)
+
+clean:
+	@rm -rf $(BUILD)
--- /dev/null
+++ b/src/base/base_test.cpp
@@ -0,0 +1,97 @@
+#include <criterion/criterion.h>
+
+#include "fescueridge/base/endpoint.hpp"
+#include "fescueridge/base/error.hpp"
+#include "fescueridge/base/events.hpp"
+#include "fescueridge/base/outcome.hpp"
+#include "fescueridge/base/settings.hpp"
+
+using namespace fescueridge;
+
+namespace
+{
+
+const char* const valid_settings = R"({
+    // Comments are allowed.
+    "node": "a1", "failure_domain": "a", "region": "north",
+    "listen": {"caller": "127.0.0.1:1", "server": "127.0.0.1:2", "link": "127.0.0.1:3",
+               "operator": "127.0.0.1:4", "gossip": "127.0.0.1:5"},
+    "contacts": ["127.0.0.2:5"]
+})";
+
+std::string key_at_fault(std::string text, const std::string& from, const std::string& to)
+{
+    text.replace(text.find(from), from.size(), to);
+    try
+    {
+        parse_settings(text, "node.json");
+    }
+    catch (const settings_error& problem)
+    {
+        return problem.key();
+    }
+    return "no error";
+}
+
+} // namespace
+
+// Guards against a valid file being refused or misread.
+Test(base_settings, reads_a_valid_file)
+{
+    const node_settings settings = parse_settings(valid_settings, "node.json");
+    cr_assert(settings.node == node_id("a1"));
+    cr_assert(settings.listen_gossip == (endpoint{"127.0.0.1", 5}));
+    cr_assert(settings.contacts.size() == 1);
+    cr_assert(!settings.log_service.has_value());
+}
+
+// Guards against a faulty file being accepted, or an error that does not name the key.
+Test(base_settings, names_the_key_at_fault)
+{
+    cr_assert(key_at_fault(valid_settings, "\"node\"", "\"noode\"") == "node");
+    cr_assert(key_at_fault(valid_settings, "\"contacts\"", "\"contact\"") == "contact");
+    cr_assert(key_at_fault(valid_settings, "127.0.0.1:3", "host:3") == "listen.link");
+    cr_assert(key_at_fault(valid_settings, "\"north\"", "7") == "region");
+}
+
+// Guards against addresses with trailing text, missing parts or ports out of range.
+Test(base_endpoint, rejects_malformed_addresses)
+{
+    for (const char* text : {"", "1.2.3.4", "1.2.3:5", "1.2.3.4:70000", "1.2.3.4:5x",
+                             "1.2.3.4.5:6", "1.2.3.400:5"})
+    {
+        bool refused = false;
+        try
+        {
+            parse_endpoint(text);
+        }
+        catch (const address_error&)
+        {
+            refused = true;
+        }
+        cr_assert(refused, "%s was accepted", text);
+    }
+}
+
+// Guards against a name table that is out of step with its enumeration.
+Test(base_outcome, names_round_trip)
+{
+    for (int i = 0; i <= static_cast<int>(refusal_reason::shutting_down); ++i)
+    {
+        const auto reason = static_cast<refusal_reason>(i);
+        cr_assert(parse_refusal_reason(to_string(reason)) == reason);
+    }
+    cr_assert(to_string(refusal_reason::shutting_down) == "shutting_down");
+    cr_assert(to_string(outcome::failed) == "failed");
+}
+
+// Guards against events of two processes that lose their causal order.
+Test(base_events, received_stamp_moves_the_clock_forward)
+{
+    event_log log(node_id("a1"), incarnation(1));
+    log.echo(false);
+    log.observe(40);
+    log.record("sheet_accepted", {{"version", std::int64_t{2}}});
+    cr_assert(log.since(0).front().lamport == 41);
+    cr_assert(log.since(1).empty());
+}
--- /dev/null
+++ b/src/base/settings.cpp
@@ -0,0 +1,196 @@
+#include "fescueridge/base/settings.hpp"
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <sstream>
+
+#include "fescueridge/base/error.hpp"
+
+namespace fescueridge
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+/// Reads the members of one JSON object and remembers which ones were asked for, so that
+/// unknown keys can be reported.
+class object_reader
+{
+public:
+    object_reader(const json& object, std::string file, std::string prefix)
+        : object_(object), file_(std::move(file)), prefix_(std::move(prefix))
+    {
+        if (!object_.is_object())
+        {
+            fail("", "must be an object");
+        }
+    }
+
+    [[noreturn]] void fail(const std::string& key, const std::string& reason) const
+    {
+        const std::string dot = !prefix_.empty() && !key.empty() ? "." : "";
+        throw settings_error(file_, prefix_ + dot + key, reason);
+    }
+
+    const json* find(const std::string& key)
+    {
+        known_.insert(key);
+        const auto found = object_.find(key);
+        return found == object_.end() ? nullptr : &*found;
+    }
+
+    const json& get(const std::string& key)
+    {
+        const json* value = find(key);
+        if (value == nullptr)
+        {
+            fail(key, "is missing");
+        }
+        return *value;
+    }
+
+    std::string text(const std::string& key)
+    {
+        const json& value = get(key);
+        if (!value.is_string() || value.get_ref<const std::string&>().empty())
+        {
+            fail(key, "must be a text that is not empty");
+        }
+        return value.get<std::string>();
+    }
+
+    endpoint address(const std::string& key) { return to_endpoint(key, get(key)); }
+
+    endpoint to_endpoint(const std::string& key, const json& value) const
+    {
+        if (!value.is_string())
+        {
+            fail(key, "must be a text \"address:port\"");
+        }
+        try
+        {
+            return parse_endpoint(value.get_ref<const std::string&>());
+        }
+        catch (const address_error& problem)
+        {
+            fail(key, problem.what());
+        }
+    }
+
+    std::int64_t number(const std::string& key, std::int64_t fallback, std::int64_t low,
+                        std::int64_t high)
+    {
+        const json* value = find(key);
+        if (value == nullptr)
+        {
+            return fallback;
+        }
+        if (!value->is_number_integer())
+        {
+            fail(key, "must be a whole number");
+        }
+        const auto result = value->get<std::int64_t>();
+        if (result < low || result > high)
+        {
+            fail(key,
+                 "must be from " + std::to_string(low) + " to " + std::to_string(high));
+        }
+        return result;
+    }
+
+    void reject_unknown_keys() const
+    {
+        for (const auto& item : object_.items())
+        {
+            if (known_.count(item.key()) == 0)
+            {
+                fail(item.key(), "is not a known key");
+            }
+        }
+    }
+
+private:
+    const json& object_;
+    std::string file_;
+    std::string prefix_;
+    std::set<std::string> known_;
+};
+
+void read_listen_addresses(const json& value, const std::string& file,
+                           node_settings& result)
+{
+    object_reader listen(value, file, "listen");
+    result.listen_caller = listen.address("caller");
+    result.listen_server = listen.address("server");
+    result.listen_link = listen.address("link");
+    result.listen_operator = listen.address("operator");
+    result.listen_gossip = listen.address("gossip");
+    listen.reject_unknown_keys();
+}
+
+std::vector<endpoint> read_contacts(object_reader& reader)
+{
+    std::vector<endpoint> result;
+    const json* contacts = reader.find("contacts");
+    if (contacts == nullptr)
+    {
+        return result;
+    }
+    if (!contacts->is_array())
+    {
+        reader.fail("contacts", "must be a list of \"address:port\"");
+    }
+    for (const json& contact : *contacts)
+    {
+        result.push_back(reader.to_endpoint("contacts", contact));
+    }
+    return result;
+}
+
+} // namespace
+
+node_settings parse_settings(const std::string& text, const std::string& file)
+{
+    json document;
+    try
+    {
+        document = json::parse(text, nullptr, true, true);
+    }
+    catch (const json::parse_error& problem)
+    {
+        throw settings_error(file, "", problem.what());
+    }
+    object_reader reader(document, file, "");
+    node_settings result;
+    result.node = node_id(reader.text("node"));
+    result.domain = domain_name(reader.text("failure_domain"));
+    result.region = reader.text("region");
+    read_listen_addresses(reader.get("listen"), file, result);
+    result.contacts = read_contacts(reader);
+    if (reader.find("log_service") != nullptr)
+    {
+        result.log_service = reader.address("log_service");
+    }
+    result.threads = static_cast<unsigned>(reader.number("threads", 2, 1, 64));
+    result.drain_timeout =
+        milliseconds(reader.number("drain_timeout_ms", 30'000, 0, 3'600'000));
+    reader.reject_unknown_keys();
+    return result;
+}
+
+node_settings load_settings(const std::string& file)
+{
+    const std::ifstream input(file);
+    if (!input)
+    {
+        throw settings_error(file, "", "cannot be read");
+    }
+    std::ostringstream text;
+    text << input.rdbuf();
+    return parse_settings(text.str(), file);
+}
+
+} // namespace fescueridge
--- /dev/null
+++ b/src/cmake/fescueridge_macros.cmake
@@ -0,0 +1,28 @@
+# fescueridge_library(NAME LINK lib...)
+# Builds src/NAME/*.cpp as library fescueridge_NAME, and src/NAME/*_test.cpp as the one
+# test program NAME_test.
+function(fescueridge_library name)
+    cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
+    file(GLOB sources CONFIGURE_DEPENDS "${CMAKE_CURRENT_SOURCE_DIR}/*.cpp")
+    set(test_sources ${sources})
+    list(FILTER sources EXCLUDE REGEX "_test\\.cpp$")
+    list(FILTER test_sources INCLUDE REGEX "_test\\.cpp$")
+    add_library(fescueridge_${name} STATIC ${sources})
+    target_include_directories(fescueridge_${name} PUBLIC "${CMAKE_SOURCE_DIR}/src/include")
+    target_link_libraries(fescueridge_${name} PUBLIC ${ARG_LINK} fmt::fmt Threads::Threads)
+    if(test_sources)
+        add_executable(${name}_test ${test_sources})
+        target_link_libraries(${name}_test PRIVATE fescueridge_${name} ${CRITERION_LIBRARY})
+        set_property(GLOBAL APPEND PROPERTY FESCUERIDGE_TESTS ${name}_test)
+    endif()
+endfunction()
+
+# fescueridge_program(NAME LINK lib...)
+# Builds the *.cpp of the current folder as program NAME in build/bin.
+function(fescueridge_program name)
+    cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
+    file(GLOB sources CONFIGURE_DEPENDS "${CMAKE_CURRENT_SOURCE_DIR}/*.cpp")
+    list(FILTER sources EXCLUDE REGEX "_test\\.cpp$")
+    add_executable(${name} ${sources})
+    target_link_libraries(${name} PRIVATE ${ARG_LINK})
+endfunction()
--- /dev/null
+++ b/src/codec/messages.cpp
@@ -0,0 +1,444 @@
+#include "fescueridge/codec/messages.hpp"
+
+#include <fmt/format.h>
+#include <limits>
+#include <nlohmann/json.hpp>
+
+#include "fescueridge/base/error.hpp"
+
+namespace fescueridge
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+// Frames are arrays, not maps: [type, lamport, field...]. Field names would be most of
+// the bytes of a small call.
+enum class frame_type : std::uint8_t
+{
+    hello = 1,
+    call,
+    reply,
+    cancel,
+    ping,
+    pong,
+    sheet_pull,
+    sheet_push,
+    demand_report,
+    share_grant,
+    strike
+};
+
+json to_binary(const std::string& bytes)
+{
+    return json::binary(std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
+}
+
+json to_array(const std::vector<header_field>& headers)
+{
+    json result = json::array();
+    for (const header_field& header : headers)
+    {
+        result.push_back(to_binary(header.name));
+        result.push_back(to_binary(header.value));
+    }
+    return result;
+}
+
+json to_array(const std::vector<admission_level>& levels)
+{
+    json result = json::array();
+    for (const admission_level& level : levels)
+    {
+        result.push_back(level.service.get());
+        result.push_back(level.cut_priority);
+        result.push_back(level.cut_fraction);
+    }
+    return result;
+}
+
+/// Appends the type and the fields of a message to a frame.
+struct encoder
+{
+    std::uint64_t lamport;
+
+    json operator()(const hello_message& m) const
+    {
+        return make(frame_type::hello, m.node.get(), m.number.get(), m.domain.get(),
+                    m.version.get());
+    }
+
+    json operator()(const call_message& m) const
+    {
+        const json key = m.key ? to_binary(m.key->get()) : json(nullptr);
+        return make(frame_type::call, m.id.get(), to_binary(m.root.get()),
+                    to_binary(m.caller.get()), to_binary(m.service.get()), m.rank.get(),
+                    m.time_left.count(), m.allowance.get(), m.depth, m.attempt, key,
+                    m.method, to_binary(m.path), to_array(m.headers), to_binary(m.body));
+    }
+
+    json operator()(const reply_message& m) const
+    {
+        const int reason = m.reason ? static_cast<int>(*m.reason) : -1;
+        return make(frame_type::reply, m.id.get(), static_cast<int>(m.result), reason,
+                    m.status, to_array(m.headers), to_binary(m.body),
+                    m.allowance_left.get(), to_array(m.levels), m.refusal_token);
+    }
+
+    json operator()(const cancel_message& m) const
+    {
+        return make(frame_type::cancel, m.id.get());
+    }
+
+    json operator()(const ping_message& m) const
+    {
+        return make(frame_type::ping, m.sent_ms);
+    }
+
+    json operator()(const pong_message& m) const
+    {
+        return make(frame_type::pong, m.sent_ms);
+    }
+
+    json operator()(const sheet_pull_message& m) const
+    {
+        return make(frame_type::sheet_pull, m.have.get());
+    }
+
+    json operator()(const sheet_push_message& m) const
+    {
+        return make(frame_type::sheet_push, m.version.get(), m.offset.get(),
+                    to_binary(m.content));
+    }
+
+    json operator()(const demand_report_message& m) const
+    {
+        return make(frame_type::demand_report, m.row, m.domain.get(), m.rate.get());
+    }
+
+    json operator()(const share_grant_message& m) const
+    {
+        return make(frame_type::share_grant, m.row, m.rate.get(), m.lease.count());
+    }
+
+    json operator()(const strike_message& m) const
+    {
+        return make(frame_type::strike, m.request.get(), m.strikes, m.server.get());
+    }
+
+private:
+    template <class... Fields>
+    json make(frame_type type, Fields&&... fields) const
+    {
+        json result = json::array();
+        result.push_back(static_cast<int>(type));
+        result.push_back(lamport);
+        (result.push_back(std::forward<Fields>(fields)), ...);
+        return result;
+    }
+};
+
+/// Takes the fields of a frame in order and checks the type of each.
+class field_reader
+{
+public:
+    explicit field_reader(json frame) : frame_(std::move(frame))
+    {
+        if (!frame_.is_array())
+        {
+            throw codec_error("frame is not an array");
+        }
+    }
+
+    template <class Number>
+    Number number(std::int64_t low = 0,
+                  std::int64_t high = std::numeric_limits<std::int64_t>::max())
+    {
+        const json& value = next();
+        if (!value.is_number_integer())
+        {
+            throw codec_error(fmt::format("field {} is not a whole number", position_));
+        }
+        const auto result = value.get<std::int64_t>();
+        if (result < low || result > high)
+        {
+            throw codec_error(
+                fmt::format("field {} is out of range: {}", position_, result));
+        }
+        return static_cast<Number>(result);
+    }
+
+    std::uint64_t unsigned64()
+    {
+        const json& value = next();
+        if (!value.is_number_unsigned())
+        {
+            throw codec_error(
+                fmt::format("field {} is not an unsigned number", position_));
+        }
+        return value.get<std::uint64_t>();
+    }
+
+    double real()
+    {
+        const json& value = next();
+        if (!value.is_number())
+        {
+            throw codec_error(fmt::format("field {} is not a number", position_));
+        }
+        return value.get<double>();
+    }
+
+    std::string text() { return to_text(next()); }
+
+    std::optional<std::string> optional_text()
+    {
+        const json& value = next();
+        if (value.is_null())
+        {
+            return std::nullopt;
+        }
+        return to_text(value);
+    }
+
+    const json& array(std::size_t group)
+    {
+        const json& value = next();
+        if (!value.is_array() || value.size() % group != 0)
+        {
+            throw codec_error(
+                fmt::format("field {} is not a list of groups of {}", position_, group));
+        }
+        return value;
+    }
+
+    std::string to_text(const json& value) const
+    {
+        if (value.is_binary())
+        {
+            const auto& bytes = value.get_binary();
+            return std::string(bytes.begin(), bytes.end());
+        }
+        if (value.is_string())
+        {
+            return value.get<std::string>();
+        }
+        throw codec_error(fmt::format("field {} is not a text", position_));
+    }
+
+    void expect_end() const
+    {
+        if (position_ != frame_.size())
+        {
+            throw codec_error(fmt::format("frame has {} fields, expected {}",
+                                          frame_.size(), position_));
+        }
+    }
+
+private:
+    const json& next()
+    {
+        if (position_ >= frame_.size())
+        {
+            throw codec_error(fmt::format("field {} is missing", position_));
+        }
+        return frame_[position_++];
+    }
+
+    json frame_;
+    std::size_t position_ = 0;
+};
+
+std::string read_body(field_reader& in)
+{
+    std::string body = in.text();
+    if (body.size() > max_body_bytes)
+    {
+        throw codec_error(fmt::format("body of {} bytes is too large", body.size()));
+    }
+    return body;
+}
+
+std::vector<header_field> read_headers(field_reader& in)
+{
+    const json& list = in.array(2);
+    std::vector<header_field> result;
+    for (std::size_t i = 0; i < list.size(); i += 2)
+    {
+        result.push_back({in.to_text(list[i]), in.to_text(list[i + 1])});
+    }
+    return result;
+}
+
+std::vector<admission_level> read_levels(field_reader& in)
+{
+    const json& list = in.array(3);
+    std::vector<admission_level> result;
+    for (std::size_t i = 0; i < list.size(); i += 3)
+    {
+        if (!list[i + 1].is_number_unsigned() || !list[i + 2].is_number_unsigned())
+        {
+            throw codec_error("an admission level is not a pair of numbers");
+        }
+        result.push_back({service_name(in.to_text(list[i])),
+                          list[i + 1].get<std::uint8_t>(),
+                          list[i + 2].get<std::uint16_t>()});
+    }
+    return result;
+}
+
+call_message read_call(field_reader& in)
+{
+    constexpr std::int64_t max_32 = std::numeric_limits<std::uint32_t>::max();
+    constexpr std::int64_t max_time_left_ms = 3'600'000;
+    call_message m;
+    m.id = call_id(in.text());
+    m.root = root_id(in.text());
+    m.caller = caller_name(in.text());
+    m.service = service_name(in.text());
+    m.rank = priority(in.number<std::uint8_t>(0, lowest_priority));
+    m.time_left = milliseconds(in.number<std::int64_t>(0, max_time_left_ms));
+    m.allowance = retry_allowance(in.number<std::uint32_t>(0, max_32));
+    m.depth = in.number<std::uint32_t>(1, max_32);
+    m.attempt = in.number<std::uint32_t>(1, max_32);
+    if (auto key = in.optional_text())
+    {
+        m.key = idempotency_key(std::move(*key));
+    }
+    m.method = in.text();
+    m.path = in.text();
+    m.headers = read_headers(in);
+    m.body = read_body(in);
+    return m;
+}
+
+reply_message read_reply(field_reader& in)
+{
+    constexpr std::int64_t max_32 = std::numeric_limits<std::uint32_t>::max();
+    reply_message m;
+    m.id = call_id(in.text());
+    m.result = in.number<outcome>(0, static_cast<int>(outcome::failed));
+    const int reason =
+        in.number<int>(-1, static_cast<int>(refusal_reason::shutting_down));
+    if (reason >= 0)
+    {
+        m.reason = static_cast<refusal_reason>(reason);
+    }
+    m.status = in.number<int>(0, 999);
+    m.headers = read_headers(in);
+    m.body = read_body(in);
+    m.allowance_left = retry_allowance(in.number<std::uint32_t>(0, max_32));
+    m.levels = read_levels(in);
+    m.refusal_token = in.text();
+    return m;
+}
+
+link_message read_control_message(frame_type type, field_reader& in)
+{
+    constexpr std::int64_t max_32 = std::numeric_limits<std::uint32_t>::max();
+    switch (type)
+    {
+    case frame_type::hello:
+    {
+        hello_message m;
+        m.node = node_id(in.text());
+        m.number = incarnation(in.unsigned64());
+        m.domain = domain_name(in.text());
+        m.version = sheet_version(in.unsigned64());
+        return m;
+    }
+    case frame_type::cancel:
+        return cancel_message{call_id(in.text())};
+    case frame_type::ping:
+        return ping_message{in.number<std::int64_t>()};
+    case frame_type::pong:
+        return pong_message{in.number<std::int64_t>()};
+    case frame_type::sheet_pull:
+        return sheet_pull_message{sheet_version(in.unsigned64())};
+    case frame_type::sheet_push:
+    {
+        sheet_push_message m;
+        m.version = sheet_version(in.unsigned64());
+        m.offset = log_offset(in.unsigned64());
+        m.content = in.text();
+        return m;
+    }
+    case frame_type::demand_report:
+    {
+        demand_report_message m;
+        m.row = in.number<std::uint32_t>(0, max_32);
+        m.domain = domain_name(in.text());
+        m.rate = call_rate(in.real());
+        return m;
+    }
+    case frame_type::share_grant:
+    {
+        share_grant_message m;
+        m.row = in.number<std::uint32_t>(0, max_32);
+        m.rate = call_rate(in.real());
+        m.lease = milliseconds(in.number<std::int64_t>());
+        return m;
+    }
+    case frame_type::strike:
+    {
+        strike_message m;
+        m.request = fingerprint(in.unsigned64());
+        m.strikes = in.number<std::uint32_t>(0, max_32);
+        m.server = incarnation(in.unsigned64());
+        return m;
+    }
+    default:
+        throw codec_error(fmt::format("unknown message type {}", static_cast<int>(type)));
+    }
+}
+
+link_message read_message(frame_type type, field_reader& in)
+{
+    switch (type)
+    {
+    case frame_type::call:
+        return read_call(in);
+    case frame_type::reply:
+        return read_reply(in);
+    default:
+        return read_control_message(type, in);
+    }
+}
+
+} // namespace
+
+std::string encode_frame(const link_frame& frame)
+{
+    const json document = std::visit(encoder{frame.lamport}, frame.message);
+    std::string bytes;
+    json::to_cbor(document, bytes);
+    return bytes;
+}
+
+link_frame decode_frame(const std::string& bytes)
+{
+    if (bytes.size() > max_frame_bytes)
+    {
+        throw codec_error(fmt::format("frame of {} bytes is too large", bytes.size()));
+    }
+    json document;
+    try
+    {
+        document = json::from_cbor(bytes);
+    }
+    catch (const json::exception& problem)
+    {
+        throw codec_error(problem.what());
+    }
+    field_reader in(std::move(document));
+    const auto type = in.number<frame_type>(0, 255);
+    link_frame frame;
+    frame.lamport = in.unsigned64();
+    frame.message = read_message(type, in);
+    in.expect_end();
+    return frame;
+}
+
+} // namespace fescueridge
--- /dev/null
+++ b/src/codec/messages_test.cpp
@@ -0,0 +1,97 @@
+#include <criterion/criterion.h>
+#include <random>
+
+#include "fescueridge/base/error.hpp"
+#include "fescueridge/codec/messages.hpp"
+
+using namespace fescueridge;
+
+namespace
+{
+
+call_message sample_call()
+{
+    call_message m;
+    m.id = call_id("a1-7");
+    m.root = root_id(std::string("root\xff", 5));
+    m.caller = caller_name("tablet");
+    m.service = service_name("till-pricing");
+    m.rank = priority(0);
+    m.time_left = milliseconds(250);
+    m.allowance = retry_allowance(3);
+    m.key = idempotency_key("k1");
+    m.method = "POST";
+    m.path = "/price";
+    m.headers = {{"Accept", "*/*"}};
+    m.body = std::string("\0\x80 body", 7);
+    return m;
+}
+
+bool is_rejected(const std::string& bytes)
+{
+    try
+    {
+        decode_frame(bytes);
+    }
+    catch (const codec_error&)
+    {
+        return true;
+    }
+    return false;
+}
+
+} // namespace
+
+// Guards against a field that is lost or that turns up in the place of another one.
+Test(codec_messages, call_round_trip)
+{
+    const std::string bytes = encode_frame({9, sample_call()});
+    const link_frame frame = decode_frame(bytes);
+    const auto& m = std::get<call_message>(frame.message);
+    cr_assert(frame.lamport == 9);
+    cr_assert(m.root == sample_call().root);
+    cr_assert(m.body == sample_call().body);
+    cr_assert(m.key == sample_call().key);
+    cr_assert(m.time_left == milliseconds(250));
+    cr_assert(m.headers.size() == 1 && m.headers[0].value == "*/*");
+}
+
+// Guards against a reply without a reason that decodes as one with a reason.
+Test(codec_messages, reply_round_trip)
+{
+    reply_message m;
+    m.id = call_id("a1-8");
+    m.result = outcome::ok;
+    m.status = 200;
+    m.levels = {{service_name("s"), 4, 512}};
+    const link_frame frame = decode_frame(encode_frame({1, m}));
+    const auto& decoded = std::get<reply_message>(frame.message);
+    cr_assert(!decoded.reason.has_value());
+    cr_assert(decoded.levels.size() == 1 && decoded.levels[0].cut_fraction == 512);
+}
+
+// Guards against a half frame that is taken for a whole one.
+Test(codec_messages, every_truncation_is_rejected)
+{
+    const std::string bytes = encode_frame({9, sample_call()});
+    for (std::size_t length = 0; length < bytes.size(); ++length)
+    {
+        cr_assert(is_rejected(bytes.substr(0, length)), "length %zu", length);
+    }
+}
+
+// Guards against damaged frames that end the process instead of raising codec_error.
+Test(codec_messages, damaged_frames_raise_only_codec_error)
+{
+    std::mt19937_64 random(4711);
+    const std::string bytes = encode_frame({9, sample_call()});
+    for (int round = 0; round < 20'000; ++round)
+    {
+        std::string damaged = bytes;
+        for (int flips = 0; flips < 3; ++flips)
+        {
+            damaged[random() % damaged.size()] = static_cast<char>(random());
+        }
+        is_rejected(damaged);
+    }
+}
--- /dev/null
+++ b/src/include/fescueridge/base/settings.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fescueridge/base/clock.hpp"
+#include "fescueridge/base/endpoint.hpp"
+#include "fescueridge/base/types.hpp"
+
+namespace fescueridge
+{
+
+/// Settings of a node, read once at the start.
+struct node_settings
+{
+    node_id node;
+    domain_name domain;
+    std::string region;
+    endpoint listen_caller;   ///< Callers' HTTP.
+    endpoint listen_server;   ///< HTTP for downstream calls of the own backend server.
+    endpoint listen_link;     ///< Links from other nodes.
+    endpoint listen_operator; ///< Operators' HTTP and server announcements.
+    endpoint listen_gossip;   ///< UDP.
+    std::vector<endpoint> contacts; ///< Gossip addresses of a few other nodes.
+    std::optional<endpoint> log_service;
+    unsigned threads = 2;
+    milliseconds drain_timeout{30'000};
+};
+
+/// Reads and checks a settings file in JSON with comments. Throws settings_error that
+/// names the file and the key for an unknown key, a missing key, a wrong type or a value
+/// out of range.
+node_settings load_settings(const std::string& file);
+
+/// Same as load_settings, from a text; `file` is only used in error messages.
+node_settings parse_settings(const std::string& text, const std::string& file);
+
+} // namespace fescueridge
--- /dev/null
+++ b/src/include/fescueridge/codec/messages.hpp
@@ -0,0 +1,153 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "fescueridge/base/clock.hpp"
+#include "fescueridge/base/outcome.hpp"
+#include "fescueridge/base/types.hpp"
+
+namespace fescueridge
+{
+
+/// One HTTP header field.
+struct header_field
+{
+    std::string name;
+    std::string value;
+};
+
+/// What a node admits at the moment: calls whose rank (priority, root fraction) lies
+/// below it. A level of (lowest_priority + 1, 0) admits everything.
+struct admission_level
+{
+    service_name service;
+    std::uint8_t cut_priority = lowest_priority + 1;
+    std::uint16_t cut_fraction = 0;
+};
+
+/// First message on a link, in both directions.
+struct hello_message
+{
+    node_id node;
+    incarnation number;
+    domain_name domain;
+    sheet_version version;
+};
+
+/// A call on its way to the node beside a backend server. Everything after `time_left` is
+/// inherited from the root.
+struct call_message
+{
+    call_id id;
+    root_id root;
+    caller_name caller;
+    service_name service;
+    priority rank;
+    milliseconds time_left{0};
+    retry_allowance allowance;
+    std::uint32_t depth = 1;
+    std::uint32_t attempt = 1;
+    std::optional<idempotency_key> key;
+    std::string method;
+    std::string path;
+    std::vector<header_field> headers;
+    std::string body;
+};
+
+/// The answer to a call: whole, or a typed failure.
+struct reply_message
+{
+    call_id id;
+    outcome result = outcome::unknown;
+    std::optional<refusal_reason> reason;
+    int status = 0;
+    std::vector<header_field> headers;
+    std::string body;
+    retry_allowance allowance_left;
+    std::vector<admission_level> levels;
+    std::string refusal_token;
+};
+
+/// Nobody waits for this call any more.
+struct cancel_message
+{
+    call_id id;
+};
+
+/// Heartbeat of a link; the answer repeats the send time.
+struct ping_message
+{
+    std::int64_t sent_ms = 0;
+};
+
+struct pong_message
+{
+    std::int64_t sent_ms = 0;
+};
+
+/// Asks for the sheet when the peer has a newer version than `have`.
+struct sheet_pull_message
+{
+    sheet_version have;
+};
+
+/// A whole sheet with the log offset up to which it was decided.
+struct sheet_push_message
+{
+    sheet_version version;
+    log_offset offset;
+    std::string content;
+};
+
+/// Demand for a limited row of the sheet, seen by the sender.
+struct demand_report_message
+{
+    std::uint32_t row = 0;
+    domain_name domain;
+    call_rate rate;
+};
+
+/// Share of a limited row that the receiver may use until the lease ends.
+struct share_grant_message
+{
+    std::uint32_t row = 0;
+    call_rate rate;
+    milliseconds lease{0};
+};
+
+/// A request was running when a backend server died.
+struct strike_message
+{
+    fingerprint request;
+    std::uint32_t strikes = 0;
+    incarnation server;
+};
+
+/// Any message on a link between two nodes.
+using link_message =
+    std::variant<hello_message, call_message, reply_message, cancel_message, ping_message,
+                 pong_message, sheet_pull_message, sheet_push_message,
+                 demand_report_message, share_grant_message, strike_message>;
+
+/// A message with the Lamport stamp of its sender.
+struct link_frame
+{
+    std::uint64_t lamport = 0;
+    link_message message;
+};
+
+/// Largest encoded frame in bytes: a body of the largest size and its envelope.
+constexpr std::size_t max_frame_bytes = max_body_bytes + std::size_t{1024} * 1024;
+
+/// Encodes a frame as CBOR.
+std::string encode_frame(const link_frame& frame);
+
+/// Decodes a frame. Throws codec_error when the bytes are no CBOR, the type is unknown, a
+/// field is missing or has a wrong type, or a body or frame is too large.
+link_frame decode_frame(const std::string& bytes);
+
+} // namespace fescueridge
