Add public headers of the transport library

Cause: the node is written against these interfaces while they are implemented. Ruled out: Asio and websocketpp types in the headers, because they slow down every including file; the io_context is only declared. Conclusion: the node can compile against them; the implementation follows.

--- /dev/null
+++ b/src/include/fescueridge/transport/http_client_pool.hpp
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "fescueridge/base/clock.hpp"
+#include "fescueridge/base/endpoint.hpp"
+#include "fescueridge/transport/http.hpp"
+
+namespace asio
+{
+class io_context;
+}
+
+namespace fescueridge
+{
+
+namespace detail
+{
+class http_client_pool_impl;
+class client_call;
+} // namespace detail
+
+/// Why a request got no whole answer.
+enum class http_failure_kind : std::uint8_t
+{
+    connect_failed, ///< No connection could be opened (refused, unreachable).
+    not_sent,       ///< The connection failed before the first byte was written.
+    timed_out,      ///< No whole answer in time.
+    cut,            ///< The connection ended before the answer was whole.
+    malformed,      ///< The answer is not HTTP/1.x or does not state its length.
+    too_large,      ///< The answer is over the limits.
+    cancelled,      ///< cancel() was called, or the pool was closed.
+    no_connection   ///< Time ran out while all connections were busy or being opened.
+};
+
+/// Returns the stable name of a kind, for events.
+std::string_view to_string(http_failure_kind value) noexcept;
+
+/// Failure of one request.
+struct http_failure
+{
+    http_failure_kind kind = http_failure_kind::cut;
+
+    /// False only when certainly no byte of the request was written.
+    bool sent = true;
+
+    std::string detail;
+};
+
+/// A whole answer or a failure.
+using http_result = std::variant<http_response, http_failure>;
+
+/// Handle of a request under way; does not own it.
+class http_call_handle
+{
+public:
+    http_call_handle() = default;
+    explicit http_call_handle(std::weak_ptr<detail::client_call> call)
+        : call_(std::move(call))
+    {
+    }
+
+    /// Ends the request: its callback gets `cancelled`, and its connection is closed.
+    /// Without effect when the request has ended. Safe from every thread.
+    void cancel();
+
+private:
+    std::weak_ptr<detail::client_call> call_;
+};
+
+/// Connections to one endpoint. Never holds more than `limit` connections, those being
+/// opened included. A connection that saw a timeout, a cut, a partial or malformed answer
+/// or a cancel is closed and never reused. Safe for use from several threads.
+class http_client_pool
+{
+public:
+    /// Called exactly once for each request, on an io thread, never from inside send().
+    using callback = std::function<void(http_result)>;
+
+    http_client_pool(asio::io_context& io, endpoint target, connection_count limit);
+
+    /// Closes the pool.
+    ~http_client_pool();
+
+    http_client_pool(const http_client_pool&) = delete;
+    http_client_pool& operator=(const http_client_pool&) = delete;
+
+    /// Sends a request on an idle connection, on a new one, or, when all are busy, as
+    /// soon as one is free (first come, first served). The timeout covers the waiting
+    /// time as well.
+    http_call_handle send(http_request request, milliseconds timeout, callback done);
+
+    /// Opens connections in the background until n (at most the limit) are open.
+    void warm(std::size_t n);
+
+    /// Changes the limit. Connections over it are closed when they become idle.
+    void set_limit(connection_count limit);
+
+    /// Returns the number of connections, those being opened included.
+    std::size_t connections() const;
+
+    /// Returns the number of requests that wait for a connection.
+    std::size_t waiting() const;
+
+    /// Closes all connections; requests under way get `cancelled`.
+    void close();
+
+private:
+    std::shared_ptr<detail::http_client_pool_impl> impl_;
+};
+
+} // namespace fescueridge
