--- a/src/include/fescueridge/transport/http_server.hpp
+++ b/src/include/fescueridge/transport/http_server.hpp
@@ -85,8 +85,8 @@
     http_server(asio::io_context& io, const endpoint& listen, handler on_request,
                 http_server_options options = {});
 
-    /// Closes the server. Callbacks that run at that moment on other threads may still
-    /// finish; none starts afterwards.
+    /// Closes the server. A handler that runs at that moment on another thread may still
+    /// finish, and the on_closed functions of waiting requests follow on io threads.
     ~http_server();
 
     http_server(const http_server&) = delete;
@@ -99,8 +99,8 @@
     /// Connection: close.
     void stop_accepting();
 
-    /// Returns the number of requests handed to the handler whose answer is not yet
-    /// written completely.
+    /// Returns the number of requests handed to the handler whose peer still waits for
+    /// the end of the answer.
     std::size_t open_exchanges() const noexcept;
 
     /// Returns the number of open connections.
--- /dev/null
+++ b/src/transport/client_connection.cpp
@@ -0,0 +1,229 @@
+#include "client_connection.hpp"
+
+#include <array>
+#include <cerrno>
+#include <utility>
+
+#include <sys/socket.h>
+
+namespace fescueridge::detail
+{
+namespace
+{
+
+/// A connection that takes longer to open counts as failed. Opening takes about 1 ms
+/// (section 1.1 of the design page); a lost SYN is sent again after 1 s.
+constexpr milliseconds open_timeout{1500};
+
+constexpr std::size_t read_size = std::size_t{64} * 1024;
+
+http_failure_kind failure_of(parse_status status)
+{
+    return status == parse_status::malformed ? http_failure_kind::malformed
+                                             : http_failure_kind::too_large;
+}
+
+} // namespace
+
+void client_call::finish(http_result result)
+{
+    if (ended_.exchange(true))
+        return;
+    timer_.cancel();
+    const auto done = std::exchange(done_, nullptr);
+    if (done)
+        done(std::move(result));
+}
+
+client_connection::client_connection(asio::io_context& io,
+                                     std::shared_ptr<connection_owner> owner)
+    : owner_(std::move(owner)), socket_(asio::make_strand(io)),
+      open_timer_(socket_.get_executor()), parser_(HTTP_RESPONSE, max_body_bytes)
+{
+}
+
+void client_connection::open(const asio::ip::tcp::endpoint& target)
+{
+    asio::dispatch(socket_.get_executor(),
+                   [self = shared_from_this(), target]
+                   {
+                       if (self->closed_)
+                           return;
+                       self->open_timer_.expires_after(open_timeout);
+                       self->open_timer_.async_wait(
+                           [self](asio::error_code ec)
+                           {
+                               if (!ec && !self->connected_)
+                                   self->on_connected(asio::error::timed_out);
+                           });
+                       self->socket_.async_connect(target, [self](asio::error_code ec)
+                                                   { self->on_connected(ec); });
+                   });
+}
+
+void client_connection::on_connected(asio::error_code ec)
+{
+    if (closed_)
+        return;
+    open_timer_.cancel();
+    if (ec)
+    {
+        closed_ = true;
+        asio::error_code ignored;
+        socket_.close(ignored);
+        return owner_->failed_to_open(shared_from_this(), ec.message());
+    }
+    connected_ = true;
+    socket_.set_option(asio::ip::tcp::no_delay(true), ec);
+    socket_.non_blocking(true, ec);
+    read();
+    owner_->became_idle(shared_from_this());
+}
+
+void client_connection::start(const call_ptr& call)
+{
+    asio::dispatch(socket_.get_executor(),
+                   [self = shared_from_this(), call] { self->run(call); });
+}
+
+void client_connection::run(const call_ptr& call)
+{
+    if (call->ended() || call->aborted_)
+    {
+        const http_failure_kind kind = call->abort_kind_;
+        if (!closed_)
+            owner_->became_idle(shared_from_this());
+        return call->finish(http_failure{kind, false, std::string(to_string(kind))});
+    }
+    if (!closed_ && readable_or_closed())
+        shut();
+    if (closed_)
+        return owner_->give_back(call);
+    call_ = call;
+    writing_ = call;
+    parser_.reset(call->head_);
+    asio::async_write(socket_, asio::buffer(call->bytes_),
+                      [self = shared_from_this()](asio::error_code ec, std::size_t size)
+                      { self->on_written(ec, size); });
+}
+
+// The pending wait reports the end of an idle connection, or bytes that belong to no
+// request, only after the event loop has seen them; this asks the kernel right before the
+// write.
+bool client_connection::readable_or_closed()
+{
+    char byte = 0;
+    const auto got = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+// Waits without taking bytes from the kernel, so that readable_or_closed() sees bytes
+// that arrived before the request was written.
+void client_connection::read()
+{
+    if (reading_ || closed_)
+        return;
+    reading_ = true;
+    socket_.async_wait(strand_socket::wait_read,
+                       [self = shared_from_this()](asio::error_code ec)
+                       { self->on_readable(ec); });
+}
+
+void client_connection::on_readable(asio::error_code ec)
+{
+    reading_ = false;
+    if (closed_)
+        return;
+    if (!call_)
+        return shut();
+    thread_local std::array<char, read_size> buffer;
+    const auto size = ec ? 0 : socket_.read_some(asio::buffer(buffer), ec);
+    if (ec == asio::error::would_block || ec == asio::error::try_again)
+        return read();
+    if (ec)
+        return fail(http_failure_kind::cut, true, ec.message());
+    on_answer_bytes(buffer.data(), size);
+}
+
+void client_connection::on_answer_bytes(const char* data, std::size_t size)
+{
+    std::size_t used = 0;
+    auto status = parser_.feed(data, size, used);
+    if (status == parse_status::need_more)
+        return read();
+    if (status != parse_status::complete)
+        return fail(failure_of(status), true, parser_.problem());
+    if (parser_.status_code() == 101)
+        return fail(http_failure_kind::malformed, true, "unexpected protocol switch");
+    if (parser_.status_code() / 100 != 1)
+        return on_answer(used == size && parser_.keep_alive() && !writing_);
+    // An interim answer (100, 102, 103) precedes the real one.
+    parser_.reset(call_->head_);
+    if (used == size)
+        return read();
+    on_answer_bytes(data + used, size - used);
+}
+
+void client_connection::on_answer(bool reusable)
+{
+    const auto call = std::exchange(call_, nullptr);
+    auto response = parser_.take_response();
+    if (reusable)
+    {
+        read();
+        owner_->became_idle(shared_from_this());
+    }
+    else
+    {
+        shut();
+    }
+    call->finish(std::move(response));
+}
+
+void client_connection::on_written(asio::error_code ec, std::size_t size)
+{
+    writing_.reset();
+    if (ec && !closed_ && call_)
+        fail(size == 0 ? http_failure_kind::not_sent : http_failure_kind::cut, size != 0,
+             ec.message());
+}
+
+void client_connection::abort(const call_ptr& call, http_failure_kind kind)
+{
+    asio::dispatch(socket_.get_executor(),
+                   [self = shared_from_this(), call, kind]
+                   {
+                       if (self->call_ == call)
+                           self->fail(kind, true, std::string(to_string(kind)));
+                   });
+}
+
+void client_connection::fail(http_failure_kind kind, bool sent, std::string detail)
+{
+    const auto call = std::exchange(call_, nullptr);
+    shut();
+    if (call)
+        call->finish(http_failure{kind, sent, std::move(detail)});
+}
+
+void client_connection::close()
+{
+    asio::dispatch(socket_.get_executor(),
+                   [self = shared_from_this()]
+                   {
+                       if (!self->closed_)
+                           self->fail(http_failure_kind::cancelled, true, "pool closed");
+                   });
+}
+
+void client_connection::shut()
+{
+    if (std::exchange(closed_, true))
+        return;
+    open_timer_.cancel();
+    asio::error_code ec;
+    socket_.close(ec);
+    owner_->closed(shared_from_this());
+}
+
+} // namespace fescueridge::detail
--- /dev/null
+++ b/src/transport/http_message.cpp
@@ -0,0 +1,270 @@
+#include "http_message.hpp"
+
+#include <algorithm>
+#include <mutex>
+#include <string_view>
+
+#include <fmt/format.h>
+
+namespace fescueridge::detail
+{
+namespace
+{
+
+constexpr std::uint64_t no_content_length = ~std::uint64_t{0};
+
+bool has_control_character(std::string_view text)
+{
+    return std::any_of(text.begin(), text.end(),
+                       [](char c) {
+                           return (static_cast<unsigned char>(c) < 0x20 && c != '\t') ||
+                                  c == 0x7f;
+                       });
+}
+
+bool is_field_name(std::string_view name)
+{
+    return !name.empty() && !has_control_character(name) &&
+           name.find_first_of(" \t:") == std::string_view::npos;
+}
+
+bool is_request_word(std::string_view word)
+{
+    return !word.empty() && !has_control_character(word) &&
+           word.find_first_of(" \t") == std::string_view::npos;
+}
+
+void append_fields(std::string& out, const std::vector<header_field>& headers)
+{
+    for (const auto& field : headers)
+    {
+        if (is_hop_header(field.name) || !is_field_name(field.name) ||
+            has_control_character(field.value))
+            continue;
+        out.append(field.name).append(": ").append(field.value).append("\r\n");
+    }
+}
+
+const char* status_text(int status)
+{
+    switch (status)
+    {
+#define FESCUERIDGE_STATUS(number, name, text)                                           \
+    case number:                                                                         \
+        return #text;
+        HTTP_STATUS_MAP(FESCUERIDGE_STATUS)
+#undef FESCUERIDGE_STATUS
+    default:
+        return "Status";
+    }
+}
+
+} // namespace
+
+message_parser::message_parser(http_parser_type type, std::size_t max_body)
+    : type_(type), max_body_(max_body)
+{
+    static std::once_flag limit_set;
+    std::call_once(limit_set, [] { http_parser_set_max_header_size(max_header_bytes); });
+    reset();
+}
+
+void message_parser::reset(bool head_answer)
+{
+    http_parser_init(&parser_, type_);
+    parser_.data = this;
+    status_ = parse_status::need_more;
+    head_answer_ = head_answer;
+    started_ = false;
+    keep_alive_ = false;
+    in_value_ = false;
+    expects_continue_ = false;
+    problem_.clear();
+    target_.clear();
+    headers_.clear();
+    body_.clear();
+}
+
+parse_status message_parser::feed(const char* data, std::size_t size, std::size_t& used)
+{
+    used = 0;
+    if (status_ != parse_status::need_more || size == 0)
+        return status_;
+    started_ = true;
+    used = http_parser_execute(&parser_, &settings(), data, size);
+    if (status_ != parse_status::need_more)
+        return status_;
+    const auto code = HTTP_PARSER_ERRNO(&parser_);
+    if (code == HPE_HEADER_OVERFLOW)
+        return fail(parse_status::header_too_large, "header block over the limit");
+    if (code != HPE_OK)
+        return fail(parse_status::malformed, http_errno_description(code));
+    return status_;
+}
+
+parse_status message_parser::fail(parse_status status, std::string problem)
+{
+    status_ = status;
+    problem_ = std::move(problem);
+    return status_;
+}
+
+bool message_parser::take_expects_continue() noexcept
+{
+    return std::exchange(expects_continue_, false);
+}
+
+http_request message_parser::take_request()
+{
+    return {http_method_str(static_cast<http_method>(parser_.method)), std::move(target_),
+            std::move(headers_), std::move(body_)};
+}
+
+http_response message_parser::take_response()
+{
+    return {static_cast<int>(parser_.status_code), std::move(headers_), std::move(body_)};
+}
+
+message_parser& message_parser::self(http_parser* parser)
+{
+    return *static_cast<message_parser*>(parser->data);
+}
+
+int message_parser::on_url(http_parser* parser, const char* data, std::size_t size)
+{
+    self(parser).target_.append(data, size);
+    return 0;
+}
+
+int message_parser::on_header_field(http_parser* parser, const char* data,
+                                    std::size_t size)
+{
+    auto& me = self(parser);
+    if (me.headers_.empty() || me.in_value_)
+        me.headers_.emplace_back();
+    me.in_value_ = false;
+    me.headers_.back().name.append(data, size);
+    return 0;
+}
+
+int message_parser::on_header_value(http_parser* parser, const char* data,
+                                    std::size_t size)
+{
+    auto& me = self(parser);
+    me.in_value_ = true;
+    me.headers_.back().value.append(data, size);
+    return 0;
+}
+
+int message_parser::on_headers_complete(http_parser* parser)
+{
+    return self(parser).headers_complete();
+}
+
+int message_parser::headers_complete()
+{
+    constexpr int skip_body = 1;
+    constexpr int refuse = -1;
+    parser_.upgrade = 0;
+    if (lacks_length())
+    {
+        fail(parse_status::malformed, "answer does not state its length");
+        return refuse;
+    }
+    if (head_answer_)
+        return skip_body;
+    if (parser_.content_length != no_content_length && parser_.content_length > max_body_)
+    {
+        fail(parse_status::body_too_large, "body over the limit");
+        return refuse;
+    }
+    const auto* expect = find_header(headers_, "Expect");
+    expects_continue_ = type_ == HTTP_REQUEST && expect && *expect == "100-continue";
+    return 0;
+}
+
+bool message_parser::lacks_length() const
+{
+    if (type_ != HTTP_RESPONSE || head_answer_)
+        return false;
+    if (parser_.status_code / 100 == 1 || parser_.status_code == 204 ||
+        parser_.status_code == 304)
+        return false;
+    return (parser_.flags & F_CHUNKED) == 0 &&
+           parser_.content_length == no_content_length;
+}
+
+int message_parser::on_body(http_parser* parser, const char* data, std::size_t size)
+{
+    auto& me = self(parser);
+    if (me.body_.size() + size > me.max_body_)
+    {
+        me.fail(parse_status::body_too_large, "body over the limit");
+        return -1;
+    }
+    me.body_.append(data, size);
+    return 0;
+}
+
+int message_parser::on_message_complete(http_parser* parser)
+{
+    auto& me = self(parser);
+    me.status_ = parse_status::complete;
+    me.keep_alive_ = http_should_keep_alive(parser) != 0;
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+const http_parser_settings& message_parser::settings()
+{
+    static const http_parser_settings value = []
+    {
+        http_parser_settings result;
+        http_parser_settings_init(&result);
+        result.on_url = on_url;
+        result.on_header_field = on_header_field;
+        result.on_header_value = on_header_value;
+        result.on_headers_complete = on_headers_complete;
+        result.on_body = on_body;
+        result.on_message_complete = on_message_complete;
+        return result;
+    }();
+    return value;
+}
+
+std::string write_response(const http_response& response, bool keep_alive, bool with_body)
+{
+    auto out =
+        fmt::format("HTTP/1.1 {} {}\r\n", response.status, status_text(response.status));
+    out.reserve(out.size() + response.body.size() + 512);
+    append_fields(out, response.headers);
+    if (response.status != 204 && response.status != 304)
+        out.append(fmt::format("Content-Length: {}\r\n", response.body.size()));
+    if (!keep_alive)
+        out.append("Connection: close\r\n");
+    out.append("\r\n");
+    if (with_body && response.status != 204 && response.status != 304)
+        out.append(response.body);
+    return out;
+}
+
+std::string write_request(const http_request& request, const std::string& host)
+{
+    if (!is_request_word(request.method) || !is_request_word(request.target))
+        return {};
+    auto out = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", request.method,
+                           request.target, host);
+    out.reserve(out.size() + request.body.size() + 512);
+    append_fields(out, request.headers);
+    if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD"))
+        out.append(fmt::format("Content-Length: {}\r\n", request.body.size()));
+    out.append("\r\n").append(request.body);
+    return out;
+}
+
+http_response plain_response(int status, const std::string& text)
+{
+    return {status, {{"Content-Type", "text/plain"}}, text + "\n"};
+}
+
+} // namespace fescueridge::detail
--- /dev/null
+++ b/src/transport/http_message.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include <http_parser.h>
+
+#include "fescueridge/transport/http.hpp"
+
+namespace fescueridge::detail
+{
+
+/// State of the message after some bytes.
+enum class parse_status : std::uint8_t
+{
+    need_more,
+    complete,
+    malformed,
+    header_too_large,
+    body_too_large
+};
+
+/// Reads one HTTP message at a time with http-parser. An answer must state its length
+/// (Content-Length or chunked), because the end of the connection does not tell a whole
+/// answer from a cut one.
+class message_parser
+{
+public:
+    message_parser(http_parser_type type, std::size_t max_body);
+    message_parser(const message_parser&) = delete;
+    message_parser& operator=(const message_parser&) = delete;
+
+    /// Starts a new message. `head_answer` says that the answer has no body although it
+    /// states a length.
+    void reset(bool head_answer = false);
+
+    /// Reads bytes up to the end of the message; `used` is the number of bytes read.
+    parse_status feed(const char* data, std::size_t size, std::size_t& used);
+
+    /// Tells whether any byte of the current message was read.
+    bool started() const noexcept { return started_; }
+
+    /// Tells whether the connection may carry another message after this one.
+    bool keep_alive() const noexcept { return keep_alive_; }
+
+    /// Returns the status of an answer whose status line was read.
+    int status_code() const noexcept { return static_cast<int>(parser_.status_code); }
+
+    /// Tells once whether the peer waits for an interim answer before it sends the body.
+    bool take_expects_continue() noexcept;
+
+    /// Describes why the message was not accepted.
+    const std::string& problem() const noexcept { return problem_; }
+
+    /// Takes the complete message.
+    http_request take_request();
+    http_response take_response();
+
+private:
+    static message_parser& self(http_parser* parser);
+    static int on_url(http_parser* parser, const char* data, std::size_t size);
+    static int on_header_field(http_parser* parser, const char* data, std::size_t size);
+    static int on_header_value(http_parser* parser, const char* data, std::size_t size);
+    static int on_headers_complete(http_parser* parser);
+    static int on_body(http_parser* parser, const char* data, std::size_t size);
+    static int on_message_complete(http_parser* parser);
+    static const http_parser_settings& settings();
+
+    int headers_complete();
+    bool lacks_length() const;
+    parse_status fail(parse_status status, std::string problem);
+
+    http_parser parser_{};
+    http_parser_type type_;
+    std::size_t max_body_;
+    parse_status status_ = parse_status::need_more;
+    bool head_answer_ = false;
+    bool started_ = false;
+    bool keep_alive_ = false;
+    bool in_value_ = false;
+    bool expects_continue_ = false;
+    std::string problem_;
+    std::string target_;
+    std::vector<header_field> headers_;
+    std::string body_;
+};
+
+/// Returns the bytes of an answer. `with_body` is false for the answer to a HEAD request.
+/// Fields with a control character in name or value are left out, so that a value cannot
+/// add fields or a second answer.
+std::string write_response(const http_response& response, bool keep_alive,
+                           bool with_body);
+
+/// Returns the bytes of a request; empty when method or target cannot be sent.
+std::string write_request(const http_request& request, const std::string& host);
+
+/// Returns an answer with a short plain-text body.
+http_response plain_response(int status, const std::string& text);
+
+} // namespace fescueridge::detail
--- /dev/null
+++ b/src/transport/http_server_test.cpp
@@ -0,0 +1,216 @@
+#include <criterion/criterion.h>
+
+#include <atomic>
+#include <mutex>
+
+#include "fescueridge/base/error.hpp"
+#include "fescueridge/transport/http_server.hpp"
+#include "test_support.hpp"
+
+using namespace fescueridge;
+using test::eventually;
+using test::io_threads;
+using test::raw_peer;
+
+namespace
+{
+
+const endpoint any_port{"127.0.0.1", 0};
+
+void echo(const http_request& request, const std::shared_ptr<http_exchange>& exchange)
+{
+    exchange->respond({200, {{"X-Target", request.target}}, request.body});
+}
+
+struct fault_counter
+{
+    std::atomic<int> count{0};
+    std::atomic<http_fault_kind> last{http_fault_kind::cut};
+
+    http_server_options options(std::size_t max_body = max_body_bytes)
+    {
+        return {max_body, [this](const http_fault& fault)
+                {
+                    last = fault.kind;
+                    ++count;
+                }};
+    }
+};
+
+void expect_refusal(const std::string& input, const std::string& status,
+                    http_fault_kind kind)
+{
+    fault_counter faults;
+    io_threads threads;
+    http_server server(threads.io, any_port, echo, faults.options(100));
+    raw_peer peer(server.bound());
+    peer.try_send(input);
+    const auto answer = peer.read_all();
+    cr_expect_neq(answer.find("HTTP/1.1 " + status), std::string::npos, "got: %s",
+                  answer.c_str());
+    cr_expect(eventually([&] { return faults.count == 1; }));
+    cr_expect(faults.last == kind);
+    raw_peer next(server.bound());
+    next.send("GET /x HTTP/1.1\r\nConnection: close\r\n\r\n");
+    cr_expect_neq(next.read_all().find("200 OK"), std::string::npos);
+}
+
+} // namespace
+
+// Guards against input that is not HTTP being passed on or stopping the server.
+Test(http_server, answers_400_to_malformed_input)
+{
+    expect_refusal("\x01\x02garbage\r\n\r\n", "400", http_fault_kind::malformed);
+    expect_refusal("GET / HTTP/1.1\r\nContent-Length: x\r\n\r\n", "400",
+                   http_fault_kind::malformed);
+}
+
+// Guards against request smuggling by two statements of the length.
+Test(http_server, refuses_two_statements_of_the_length)
+{
+    expect_refusal("POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: "
+                   "chunked\r\n\r\n0\r\n\r\n",
+                   "400", http_fault_kind::malformed);
+}
+
+// Guards against a body over the limit being read, with and without a stated length.
+Test(http_server, answers_413_to_a_body_over_the_limit)
+{
+    expect_refusal("POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n", "413",
+                   http_fault_kind::body_too_large);
+    expect_refusal("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nff\r\n" +
+                       std::string(255, 'x') + "\r\n0\r\n\r\n",
+                   "413", http_fault_kind::body_too_large);
+}
+
+// Guards against an endless header block filling the memory.
+Test(http_server, answers_431_to_a_header_block_over_the_limit)
+{
+    expect_refusal("GET / HTTP/1.1\r\nA: " + std::string(70'000, 'a') + "\r\n\r\n", "431",
+                   http_fault_kind::header_too_large);
+}
+
+// Guards against requests of one connection being mixed or answered out of order.
+Test(http_server, answers_requests_of_a_connection_in_order)
+{
+    std::mutex mutex;
+    std::vector<std::shared_ptr<http_exchange>> held;
+    std::vector<std::string> targets;
+    io_threads threads;
+    http_server server(threads.io, any_port,
+                       [&](const http_request& request, const auto& exchange)
+                       {
+                           const std::lock_guard lock(mutex);
+                           targets.push_back(request.target);
+                           held.push_back(exchange);
+                       });
+    const auto count = [&]
+    {
+        const std::lock_guard lock(mutex);
+        return held.size();
+    };
+    raw_peer peer(server.bound());
+    peer.send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\nConnection: close\r\n\r\n");
+    cr_assert(eventually([&] { return count() == 1; }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    cr_expect_eq(count(), 1U);
+    held[0]->respond({200, {}, "first"});
+    cr_assert(eventually([&] { return count() == 2; }));
+    held[1]->respond({200, {}, "second"});
+    const auto all = peer.read_all();
+    cr_expect_lt(all.find("first"), all.find("second"));
+    cr_expect_neq(all.find("second"), std::string::npos);
+    held.clear();
+}
+
+// Guards against work going on for a caller that has gone (cancellation).
+Test(http_server, reports_a_peer_that_closes_before_the_answer)
+{
+    std::atomic<int> closed{0};
+    std::shared_ptr<http_exchange> held;
+    io_threads threads;
+    http_server server(threads.io, any_port,
+                       [&](const http_request&, const auto& exchange)
+                       {
+                           held = exchange;
+                           exchange->on_closed([&] { ++closed; });
+                       });
+    raw_peer peer(server.bound());
+    peer.send("GET /1 HTTP/1.1\r\n\r\n");
+    cr_assert(eventually([&] { return server.open_exchanges() == 1; }));
+    peer.close();
+    cr_expect(eventually([&] { return closed == 1; }));
+    cr_expect(eventually([&] { return server.open_exchanges() == 0; }));
+    held->on_closed([&] { ++closed; });
+    cr_expect(eventually([&] { return closed == 2; }), "told when set after the close");
+    held->respond({});
+    held.reset();
+}
+
+// Guards against a field value that adds fields or a second answer.
+Test(http_server, leaves_out_fields_with_line_breaks)
+{
+    io_threads threads;
+    http_server server(
+        threads.io, any_port,
+        [](const http_request&, const auto& exchange) {
+            exchange->respond({200, {{"A", "x\r\nEvil: 1"}, {"B", "y"}}, ""});
+        });
+    raw_peer peer(server.bound());
+    peer.send("GET /1 HTTP/1.1\r\nConnection: close\r\n\r\n");
+    const auto answer = peer.read_all();
+    cr_expect_eq(answer.find("Evil"), std::string::npos);
+    cr_expect_neq(answer.find("B: y"), std::string::npos);
+}
+
+// Guards against a request in flight being cut by a graceful shutdown.
+Test(http_server, finishes_open_requests_after_stop_accepting)
+{
+    std::shared_ptr<http_exchange> held;
+    io_threads threads;
+    http_server server(threads.io, any_port,
+                       [&](const http_request&, const auto& exchange)
+                       { held = exchange; });
+    raw_peer peer(server.bound());
+    peer.send("GET /1 HTTP/1.1\r\n\r\n");
+    cr_assert(eventually([&] { return server.open_exchanges() == 1; }));
+    server.stop_accepting();
+    cr_expect_throw(raw_peer{server.bound()}, std::system_error);
+    held->respond({200, {}, "whole"});
+    const auto answer = peer.read_all();
+    cr_expect_neq(answer.find("Connection: close"), std::string::npos);
+    cr_expect_neq(answer.find("whole"), std::string::npos);
+    held.reset();
+}
+
+// Guards against a second process on the same port going unnoticed.
+Test(http_server, throws_when_the_port_is_in_use)
+{
+    io_threads threads;
+    http_server server(threads.io, any_port, echo);
+    cr_expect_throw(http_server(threads.io, server.bound(), echo), address_error);
+    cr_expect_throw(http_server(threads.io, {"no-number", 0}, echo), address_error);
+}
+
+// Guards against a caller without answer when a handler drops the request.
+Test(http_server, answers_500_when_the_handler_drops_the_request)
+{
+    io_threads threads;
+    http_server server(threads.io, any_port, [](const http_request&, const auto&) {});
+    raw_peer peer(server.bound());
+    peer.send("GET /1 HTTP/1.1\r\nConnection: close\r\n\r\n");
+    cr_expect_neq(peer.read_all().find("HTTP/1.1 500"), std::string::npos);
+}
+
+// Guards against large bodies stalling callers that wait for 100 Continue.
+Test(http_server, sends_the_interim_answer)
+{
+    io_threads threads;
+    http_server server(threads.io, any_port, echo);
+    raw_peer peer(server.bound());
+    peer.send("POST /1 HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n"
+              "Connection: close\r\n\r\n");
+    cr_expect_neq(peer.read_until("\r\n\r\n").find("100 Continue"), std::string::npos);
+    peer.send("hi");
+    cr_expect_neq(peer.read_all().find("\r\n\r\nhi"), std::string::npos);
+}
