--- /dev/null
+++ b/src/include/fescueridge/routing/balancer.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "fescueridge/base/clock.hpp"
+#include "fescueridge/base/outcome.hpp"
+#include "fescueridge/base/random.hpp"
+#include "fescueridge/base/types.hpp"
+
+namespace fescueridge
+{
+
+/// State of a backend server as its node announces it.
+enum class server_state : std::uint8_t
+{
+    cold,
+    ready,
+    draining,
+    gone
+};
+
+/// A backend server of the service, as membership and links know it.
+struct server_member
+{
+    node_id node;
+    domain_name domain;
+    server_state state = server_state::ready;
+    slot_count slots{1};
+    incarnation number;           ///< A new number starts a new warm-up.
+    milliseconds warm_up{10'000}; ///< Announced warm-up; 0 for none.
+    bool link_up = true;
+};
+
+/// Identifies one started call of a balancer.
+using started_call = strong_type<std::uint64_t, struct started_call_tag>;
+
+/// What the balancer knows of a server; for the operator port and tests.
+struct server_view
+{
+    node_id node;
+    std::uint32_t in_flight = 0;
+    std::chrono::microseconds latency{0};
+    bool straggler = false;
+    double weight = 0;
+};
+
+/// Chooses a backend server of one service. Thread safe.
+class backend_server_balancer
+{
+public:
+    explicit backend_server_balancer(domain_name own);
+    ~backend_server_balancer();
+    backend_server_balancer(const backend_server_balancer&) = delete;
+    backend_server_balancer& operator=(const backend_server_balancer&) = delete;
+
+    /// Takes over the current servers; what was learned of known ones is kept.
+    void update(const std::vector<server_member>& members, time_point now);
+
+    /// Returns the server for the next call, or nothing when none can take it.
+    std::optional<node_id> choose(time_point now, random_engine& random,
+                                  const std::vector<node_id>& exclude = {});
+
+    /// Records that a call was sent to a server; the result is passed to on_finish.
+    started_call on_start(const node_id& node, time_point now);
+
+    /// Records the end of a call. Calls that ended `not_run` or were cancelled
+    /// (`result` unknown with reason cancelled) give no latency sample, except that a
+    /// cancelled call that ran for longer than the estimate raises it.
+    void on_finish(const node_id& node, started_call call,
+                   std::chrono::microseconds latency, outcome result,
+                   std::optional<refusal_reason> reason, time_point now);
+
+    /// Records a refusal (call it besides on_finish): `draining` and `server_gone` take
+    /// the server out until the next update with news of it, or 1 s; `overload` makes it
+    /// less likely for 100 ms.
+    void on_refused(const node_id& node, refusal_reason reason, time_point now);
+
+    /// Takes the server out until an update reports its link as up.
+    void on_link_broken(const node_id& node, time_point now);
+
+    /// Returns the time after which a call may be hedged: the 95th percentile of the
+    /// service's recent latency. Nothing while fewer than 20 calls were seen.
+    std::optional<milliseconds> hedge_delay(time_point now) const;
+
+    /// Returns the number of connections to keep open to a server: the peak of its calls
+    /// in flight in the last 10 to 20 s, at least 1.
+    std::uint32_t pool_size_target(const node_id& node, time_point now) const;
+
+    /// Returns what is known of each server.
+    std::vector<server_view> view(time_point now) const;
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace fescueridge
