--- a/src/include/fescueridge/overload/admission.hpp
+++ b/src/include/fescueridge/overload/admission.hpp
@@ -156,7 +156,7 @@
         std::uint64_t order = 0;
     };
 
-    bool may_start(const waiting_call& call, time_point now) const;
+    bool may_start(const waiting_call& call) const;
     bool meets_deadline(const waiting_call& call, time_point now) const;
     void start(const waiting_call& call, time_point now);
     void insert(const waiting_call& call);
@@ -168,7 +168,7 @@
     void update_standing(time_point now);
     void fill(time_point now, queue_changes& changes);
     bool fill_exclusive(time_point now, queue_changes& changes);
-    bool holding_back(time_point now) const;
+    bool holding_back() const noexcept;
     std::optional<position> next_call();
     std::optional<position> oldest_call() const;
     std::optional<position> newest_of_lowest() const;
--- a/src/include/fescueridge/routing/balancer.hpp
+++ b/src/include/fescueridge/routing/balancer.hpp
@@ -67,16 +67,16 @@
     /// Records that a call was sent to a server; the result is passed to on_finish.
     started_call on_start(const node_id& node, time_point now);
 
-    /// Records the end of a call. Calls that ended `not_run` or were cancelled
-    /// (`result` unknown with reason cancelled) give no latency sample, except that a
-    /// cancelled call that ran for longer than the estimate raises it.
+    /// Records the end of a call; `latency` runs from on_start. A call that ended
+    /// `not_run` gives no latency sample. A failed or cancelled call (reason cancelled)
+    /// gives one only if it ran for longer than the estimate.
     void on_finish(const node_id& node, started_call call,
                    std::chrono::microseconds latency, outcome result,
                    std::optional<refusal_reason> reason, time_point now);
 
-    /// Records a refusal (call it besides on_finish): `draining` and `server_gone` take
-    /// the server out until the next update with news of it, or 1 s; `overload` makes it
-    /// less likely for 100 ms.
+    /// Records a refusal (call it besides on_finish). After `draining`, `server_gone` or
+    /// `shutting_down` the server gets nothing for 1 s or until an update with a new
+    /// state or incarnation; after `overload` and `deadline` it is chosen less often.
     void on_refused(const node_id& node, refusal_reason reason, time_point now);
 
     /// Takes the server out until an update reports its link as up.
--- /dev/null
+++ b/src/overload/limits.cpp
@@ -0,0 +1,205 @@
+#include "fescueridge/overload/limits.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <mutex>
+
+namespace fescueridge
+{
+
+namespace
+{
+
+// Seconds of its rate that a bucket holds; longer bursts would pass the limit visibly.
+constexpr double burst_seconds = 0.1;
+
+// Rows without a call for this long are not reported.
+constexpr milliseconds row_memory{5'000};
+
+double seconds_between(time_point from, time_point to) noexcept
+{
+    return std::chrono::duration<double>(to - from).count();
+}
+
+} // namespace
+
+token_bucket::token_bucket(call_rate rate, time_point now)
+    : rate_(std::max(0.0, rate.get())), tokens_(size()), refilled_(now)
+{
+}
+
+double token_bucket::size() const noexcept
+{
+    return std::max(1.0, rate_ * burst_seconds);
+}
+
+void token_bucket::refill(time_point now)
+{
+    if (now > refilled_)
+    {
+        tokens_ = std::min(size(), tokens_ + rate_ * seconds_between(refilled_, now));
+        refilled_ = now;
+    }
+}
+
+bool token_bucket::try_take(time_point now)
+{
+    refill(now);
+    if (tokens_ < 1.0)
+    {
+        return false;
+    }
+    tokens_ -= 1.0;
+    return true;
+}
+
+void token_bucket::set_rate(call_rate rate, time_point now)
+{
+    refill(now);
+    rate_ = std::max(0.0, rate.get());
+    tokens_ = std::min(tokens_, size());
+}
+
+void demand_meter::add(time_point now)
+{
+    const std::int64_t epoch = now.time_since_epoch() / slot_length;
+    const auto slot = static_cast<std::size_t>(epoch) % slots;
+    if (epochs_[slot] != epoch)
+    {
+        epochs_[slot] = epoch;
+        counts_[slot] = 0;
+    }
+    ++counts_[slot];
+}
+
+call_rate demand_meter::rate(time_point now) const
+{
+    const std::int64_t epoch = now.time_since_epoch() / slot_length;
+    std::uint32_t total = 0;
+    for (std::size_t i = 0; i < slots; ++i)
+    {
+        // The current slot is not full yet and would understate the rate.
+        if (epochs_[i] < epoch && epoch - epochs_[i] < static_cast<std::int64_t>(slots))
+        {
+            total += counts_[i];
+        }
+    }
+    const double covered =
+        std::chrono::duration<double>(slot_length).count() * (slots - 1);
+    return call_rate{total / covered};
+}
+
+struct limit_table::impl
+{
+    static constexpr std::size_t shard_count = 16;
+
+    struct row_state
+    {
+        row_state(call_rate rate, time_point now) : bucket(rate, now), used(now) {}
+
+        token_bucket bucket;
+        demand_meter demand;
+        time_point used;
+        std::optional<call_rate> granted;
+        time_point lease_end;
+    };
+
+    struct shard
+    {
+        std::mutex mutex;
+        std::unordered_map<std::uint32_t, row_state> rows;
+    };
+
+    static call_rate fallback(call_rate limit, limit_scope scope) noexcept
+    {
+        const double parts =
+            static_cast<double>(std::max(1U, scope.domains)) * std::max(1U, scope.nodes);
+        return call_rate{limit.get() / parts};
+    }
+
+    static call_rate current_rate(row_state& row, call_rate limit, limit_scope scope,
+                                  time_point now)
+    {
+        if (row.granted && now >= row.lease_end)
+        {
+            row.granted.reset();
+        }
+        if (!row.granted)
+        {
+            return fallback(limit, scope);
+        }
+        // A grant made under an older sheet must not pass the limit of the new one.
+        return call_rate{std::min(row.granted->get(), limit.get())};
+    }
+
+    shard& shard_of(std::uint32_t row) { return shards[row % shard_count]; }
+
+    std::array<shard, shard_count> shards;
+};
+
+limit_table::limit_table() : impl_(std::make_unique<impl>()) {}
+limit_table::~limit_table() = default;
+
+bool limit_table::admit(std::uint32_t row, call_rate limit, limit_scope scope,
+                        time_point now)
+{
+    auto& part = impl_->shard_of(row);
+    const std::lock_guard lock(part.mutex);
+    auto& state =
+        part.rows.try_emplace(row, impl::fallback(limit, scope), now).first->second;
+    state.used = now;
+    state.demand.add(now);
+    const call_rate rate = impl::current_rate(state, limit, scope, now);
+    if (rate != state.bucket.rate())
+    {
+        state.bucket.set_rate(rate, now);
+    }
+    return state.bucket.try_take(now);
+}
+
+void limit_table::grant(const share_grant_message& message, time_point now)
+{
+    auto& part = impl_->shard_of(message.row);
+    const std::lock_guard lock(part.mutex);
+    const auto found = part.rows.find(message.row);
+    if (found == part.rows.end())
+    {
+        return;
+    }
+    found->second.granted = call_rate{std::max(0.0, message.rate.get())};
+    // A faulty holder must not give away a share for ever.
+    found->second.lease_end =
+        now + std::clamp(message.lease, milliseconds{0}, share_lease);
+}
+
+std::vector<demand_report_message> limit_table::demand(const domain_name& own,
+                                                       time_point now)
+{
+    std::vector<demand_report_message> reports;
+    for (auto& part : impl_->shards)
+    {
+        const std::lock_guard lock(part.mutex);
+        for (auto it = part.rows.begin(); it != part.rows.end();)
+        {
+            if (now - it->second.used > row_memory)
+            {
+                it = part.rows.erase(it);
+                continue;
+            }
+            reports.push_back({it->first, own, it->second.demand.rate(now)});
+            ++it;
+        }
+    }
+    return reports;
+}
+
+void limit_table::clear()
+{
+    for (auto& part : impl_->shards)
+    {
+        const std::lock_guard lock(part.mutex);
+        part.rows.clear();
+    }
+}
+
+} // namespace fescueridge
--- /dev/null
+++ b/src/overload/share_holder.cpp
@@ -0,0 +1,143 @@
+#include <algorithm>
+
+#include "fescueridge/overload/limits.hpp"
+
+namespace fescueridge
+{
+
+namespace
+{
+
+// Part of a domain's share that is divided evenly, so that a node whose demand begins
+// between two reports does not start with nothing.
+constexpr double even_part = 0.02;
+
+// Returns the rate that each of the `open` domains gets on top of its guaranteed share:
+// the lowest demands are met first and the rest is divided evenly (max-min fairness).
+double lent_to(double wanted, std::vector<double> others, double spare)
+{
+    others.push_back(wanted);
+    std::sort(others.begin(), others.end());
+    double level = 0;
+    std::size_t left = others.size();
+    double remaining = spare;
+    for (const double want : others)
+    {
+        const double step = std::min(want - level, remaining / static_cast<double>(left));
+        level += step;
+        remaining -= step * static_cast<double>(left);
+        --left;
+    }
+    // What nobody asked for is not lent: the domain that owns it may need it at once.
+    return std::min(wanted, level);
+}
+
+} // namespace
+
+share_holder::share_holder(std::uint32_t row, domain_name own, call_rate limit,
+                           std::uint32_t domains)
+    : row_(row), own_(std::move(own)), limit_(limit.get()),
+      domains_(std::max(1U, domains))
+{
+}
+
+void share_holder::configure(call_rate limit, std::uint32_t domains)
+{
+    limit_ = limit.get();
+    domains_ = std::max(1U, domains);
+}
+
+void share_holder::on_node_demand(const node_id& node, call_rate rate, time_point now)
+{
+    nodes_[node] = {std::max(0.0, rate.get()), now};
+    for (auto it = nodes_.begin(); it != nodes_.end();)
+    {
+        it = now - it->second.at > share_lease ? nodes_.erase(it) : std::next(it);
+    }
+}
+
+void share_holder::on_domain_demand(const domain_name& domain, call_rate rate,
+                                    time_point now)
+{
+    if (domain != own_)
+    {
+        others_[domain] = {std::max(0.0, rate.get()), now};
+    }
+}
+
+double share_holder::own_rate(time_point now) const
+{
+    double total = 0;
+    for (const auto& [node, demand] : nodes_)
+    {
+        if (now - demand.at <= share_lease)
+        {
+            total += demand.rate;
+        }
+    }
+    return total;
+}
+
+demand_report_message share_holder::own_demand(time_point now) const
+{
+    return {row_, own_, call_rate{own_rate(now)}};
+}
+
+call_rate share_holder::domain_share(time_point now) const
+{
+    const double guaranteed = limit_ / domains_;
+    const double own = own_rate(now);
+    double spare = std::max(0.0, guaranteed - own);
+    std::vector<double> wanted;
+    for (const auto& [domain, demand] : others_)
+    {
+        // Without recent news a domain may use all of its guaranteed share.
+        if (now - demand.at > share_lease)
+        {
+            continue;
+        }
+        spare += std::max(0.0, guaranteed - demand.rate);
+        if (demand.rate > guaranteed)
+        {
+            wanted.push_back(demand.rate - guaranteed);
+        }
+    }
+    if (own <= guaranteed)
+    {
+        // The part that is on loan to others is not taken back before it is needed.
+        return call_rate{guaranteed};
+    }
+    return call_rate{guaranteed + lent_to(own - guaranteed, std::move(wanted), spare)};
+}
+
+std::vector<node_grant> share_holder::grants(time_point now) const
+{
+    std::vector<node_grant> result;
+    const double total = own_rate(now);
+    std::vector<const node_id*> fresh;
+    for (const auto& [node, demand] : nodes_)
+    {
+        if (now - demand.at <= share_lease)
+        {
+            fresh.push_back(&node);
+        }
+    }
+    const double share = domain_share(now).get();
+    for (const auto* node : fresh)
+    {
+        const double even = 1.0 / static_cast<double>(fresh.size());
+        const double part = total > 0 ? nodes_.at(*node).rate / total : even;
+        const double rate = share * (even_part * even + (1 - even_part) * part);
+        result.push_back({*node, {row_, call_rate{rate}, share_lease}});
+    }
+    return result;
+}
+
+bool share_holder::idle(time_point now) const
+{
+    return std::all_of(nodes_.begin(), nodes_.end(),
+                       [now](const auto& entry)
+                       { return now - entry.second.at > 2 * share_lease; });
+}
+
+} // namespace fescueridge
