Add public headers of the sheet library

Cause: the node is written against the sheet lookup, the explain tokens and the operator port, so their interfaces are needed before the implementation. Ruled out: the Debian CSV libraries libcsv and libfccp. As far as known without installing them, libcsv skips blank rows or, told to report them, reports CRLF twice, so row numbers would not be those of the spreadsheet; libfccp fixes the columns at compile time and has no line breaks inside quotes. Neither was tried. The headers pass a syntax check. Conclusion: the interfaces are fixed; implementations follow.

--- /dev/null
+++ b/src/include/fescueridge/sheet/operator_api.hpp
@@ -0,0 +1,211 @@
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <vector>
+
+#include "fescueridge/sheet/sheet.hpp"
+
+// JSON bodies of the operator port, shared by the node and the tool. Reading ignores
+// members that it does not know, so that a newer node can answer an older tool.
+
+namespace fescueridge
+{
+
+/// Answer to POST /v1/sheet/check, whose body is the sheet itself (text/csv).
+struct check_result
+{
+    bool ok = false;
+    std::vector<sheet_fault> faults;
+};
+
+/// Body of POST /v1/sheet/submit.
+struct submit_request
+{
+    std::string author;
+    std::uint64_t base = 0; ///< Version that the author edited.
+    std::string content;
+    /// Chosen by the sender, so that the same submit can be sent again through any node
+    /// without a second record. The node chooses one when it is empty.
+    std::string submit_id;
+};
+
+/// How a submit ended.
+enum class submit_status : std::uint8_t
+{
+    accepted,   ///< In the log as `version`.
+    lost,       ///< Another submit on the same base was first.
+    pending,    ///< Sent to the log; not known yet whether it was accepted.
+    refused,    ///< The sheet has faults; nothing was sent to the log.
+    unavailable ///< The log cannot be reached; nothing was accepted.
+};
+
+/// Returns the protocol name, for example "accepted".
+std::string_view to_string(submit_status value) noexcept;
+
+/// Answer to POST /v1/sheet/submit.
+struct submit_result
+{
+    submit_status status = submit_status::unavailable;
+    std::uint64_t version = 0;         ///< Accepted version; with `lost`, the winner's.
+    std::string winner_author;         ///< With `lost`.
+    std::string winner_submit;         ///< With `lost`: submit id of the winner.
+    std::uint64_t current_version = 0; ///< Version in force at the node.
+    std::vector<sheet_fault> faults;   ///< With `refused`.
+};
+
+/// Answer to GET /v1/sheet. Version 0 with empty content when no sheet is known.
+struct sheet_view
+{
+    std::uint64_t version = 0;
+    std::string content;
+    std::string author;
+};
+
+/// One failure domain as a node sees it.
+struct domain_view
+{
+    std::string name;
+    std::uint32_t nodes = 0;
+    std::uint64_t lowest_version = 0;
+    bool reachable = false;
+};
+
+/// The backend server of a node.
+struct server_view
+{
+    std::string service;
+    std::string state; ///< "none", "cold", "ready", "draining" or "gone".
+    std::uint32_t slots = 0;
+    std::uint32_t limit = 0;
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+};
+
+/// The log service as a node sees it.
+struct log_view
+{
+    bool reachable = false;
+    std::uint64_t offset = 0; ///< Next offset of the config stream to read.
+};
+
+/// Answer to GET /v1/status.
+struct status_view
+{
+    std::string node;
+    std::uint64_t incarnation = 0;
+    std::string domain;
+    std::string region;
+    std::uint64_t version = 0;
+    bool ready = false;
+    std::vector<domain_view> domains;
+    server_view server;
+    log_view log;
+};
+
+/// One member of the fleet.
+struct member_view
+{
+    std::string node;
+    std::uint64_t incarnation = 0;
+    std::string domain;
+    std::string region;
+    std::string service;
+    std::string state;    ///< State of the server, as in server_view.
+    std::string liveness; ///< "alive", "suspect" or "dead".
+    std::uint32_t slots = 0;
+    std::uint64_t version = 0;
+};
+
+/// Answer to GET /v1/members.
+struct members_view
+{
+    std::vector<member_view> members;
+};
+
+/// Admission level of a service as a node knows it.
+struct service_pressure
+{
+    std::string service;
+    std::uint32_t cut_priority = 0;
+    std::uint32_t cut_fraction = 0;
+    std::uint64_t age_ms = 0;
+};
+
+/// Answer to GET /v1/pressure.
+struct pressure_view
+{
+    std::vector<service_pressure> services;
+};
+
+/// Answer to POST /v1/drain.
+struct drain_result
+{
+    std::string state;
+    std::uint32_t in_flight = 0;
+};
+
+/// Answer to GET /v1/explain/<token>.
+struct explain_view
+{
+    std::string text;
+};
+
+/// Answer to GET /v1/events is text with one JSON object a line, as to_json_line writes
+/// it; `since` is the sequence after which events are wanted. This is one such line, with
+/// the line itself kept for its fields.
+struct event_view
+{
+    std::int64_t time_ms = 0;
+    std::string node;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    std::uint64_t lamport = 0;
+    std::string name;
+    std::string line;
+};
+
+void to_json(nlohmann::json& out, const sheet_fault& value);
+void from_json(const nlohmann::json& in, sheet_fault& value);
+void to_json(nlohmann::json& out, const check_result& value);
+void from_json(const nlohmann::json& in, check_result& value);
+void to_json(nlohmann::json& out, const submit_request& value);
+void from_json(const nlohmann::json& in, submit_request& value);
+void to_json(nlohmann::json& out, const submit_result& value);
+void from_json(const nlohmann::json& in, submit_result& value);
+void to_json(nlohmann::json& out, const sheet_view& value);
+void from_json(const nlohmann::json& in, sheet_view& value);
+void to_json(nlohmann::json& out, const domain_view& value);
+void from_json(const nlohmann::json& in, domain_view& value);
+void to_json(nlohmann::json& out, const server_view& value);
+void from_json(const nlohmann::json& in, server_view& value);
+void to_json(nlohmann::json& out, const log_view& value);
+void from_json(const nlohmann::json& in, log_view& value);
+void to_json(nlohmann::json& out, const status_view& value);
+void from_json(const nlohmann::json& in, status_view& value);
+void to_json(nlohmann::json& out, const member_view& value);
+void from_json(const nlohmann::json& in, member_view& value);
+void to_json(nlohmann::json& out, const members_view& value);
+void from_json(const nlohmann::json& in, members_view& value);
+void to_json(nlohmann::json& out, const service_pressure& value);
+void from_json(const nlohmann::json& in, service_pressure& value);
+void to_json(nlohmann::json& out, const pressure_view& value);
+void from_json(const nlohmann::json& in, pressure_view& value);
+void to_json(nlohmann::json& out, const drain_result& value);
+void from_json(const nlohmann::json& in, drain_result& value);
+void to_json(nlohmann::json& out, const explain_view& value);
+void from_json(const nlohmann::json& in, explain_view& value);
+
+/// Returns a body as JSON text. Instantiated for the structs above that are a whole body.
+template <class Body>
+std::string to_body(const Body& value);
+
+/// Reads a body from JSON text. Throws codec_error that names the member at fault.
+template <class Body>
+Body parse_body(const std::string& text);
+
+/// Reads one line of GET /v1/events. Throws codec_error.
+event_view parse_event_line(const std::string& line);
+
+} // namespace fescueridge
