--- a/src/include/fescueridge/sheet/csv.hpp
+++ b/src/include/fescueridge/sheet/csv.hpp
@@ -17,13 +17,21 @@
     std::vector<std::string> cells;
 };
 
+/// Largest number of cells in a row and of rows with text. They bound the memory that a
+/// text of separators or line ends alone can take; the design size is thousands of rules
+/// with nine cells each.
+constexpr std::size_t max_csv_cells = 64;
+constexpr std::size_t max_csv_rows = 50'000;
+
 /// What is wrong with the form of a table.
 enum class csv_fault_kind : std::uint8_t
 {
     quote_not_closed, ///< The text ends inside a quoted cell.
     stray_quote,      ///< A quote inside an unquoted cell, or text after a closing quote.
     not_utf8,         ///< The cell holds bytes that are no UTF-8.
-    control_character ///< The cell holds a control character, such as a zero byte.
+    control_character, ///< The cell holds a control character, such as a zero byte.
+    too_many_cells,    ///< The row has over max_csv_cells cells; the rest is left out.
+    too_many_rows      ///< The table has over max_csv_rows rows; the rest is left out.
 };
 
 /// A fault in the form of a table; `column` counts from 0.
--- a/src/include/fescueridge/sheet/operator_api.hpp
+++ b/src/include/fescueridge/sheet/operator_api.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
 #include <string>
+#include <type_traits>
 #include <vector>
 
 #include "fescueridge/sheet/sheet.hpp"
@@ -166,42 +167,31 @@
     std::string line;
 };
 
-void to_json(nlohmann::json& out, const sheet_fault& value);
-void from_json(const nlohmann::json& in, sheet_fault& value);
-void to_json(nlohmann::json& out, const check_result& value);
-void from_json(const nlohmann::json& in, check_result& value);
-void to_json(nlohmann::json& out, const submit_request& value);
-void from_json(const nlohmann::json& in, submit_request& value);
-void to_json(nlohmann::json& out, const submit_result& value);
-void from_json(const nlohmann::json& in, submit_result& value);
-void to_json(nlohmann::json& out, const sheet_view& value);
-void from_json(const nlohmann::json& in, sheet_view& value);
-void to_json(nlohmann::json& out, const domain_view& value);
-void from_json(const nlohmann::json& in, domain_view& value);
-void to_json(nlohmann::json& out, const server_view& value);
-void from_json(const nlohmann::json& in, server_view& value);
-void to_json(nlohmann::json& out, const log_view& value);
-void from_json(const nlohmann::json& in, log_view& value);
-void to_json(nlohmann::json& out, const status_view& value);
-void from_json(const nlohmann::json& in, status_view& value);
-void to_json(nlohmann::json& out, const member_view& value);
-void from_json(const nlohmann::json& in, member_view& value);
-void to_json(nlohmann::json& out, const members_view& value);
-void from_json(const nlohmann::json& in, members_view& value);
-void to_json(nlohmann::json& out, const service_pressure& value);
-void from_json(const nlohmann::json& in, service_pressure& value);
-void to_json(nlohmann::json& out, const pressure_view& value);
-void from_json(const nlohmann::json& in, pressure_view& value);
-void to_json(nlohmann::json& out, const drain_result& value);
-void from_json(const nlohmann::json& in, drain_result& value);
-void to_json(nlohmann::json& out, const explain_view& value);
-void from_json(const nlohmann::json& in, explain_view& value);
-
-/// Returns a body as JSON text. Instantiated for the structs above that are a whole body.
+/// Whether T is one of the structs that this header and sheet_fault define.
+template <class T>
+inline constexpr bool is_operator_type =
+    (std::is_same_v<T, sheet_fault> || std::is_same_v<T, check_result> ||
+     std::is_same_v<T, submit_request> || std::is_same_v<T, submit_result> ||
+     std::is_same_v<T, sheet_view> || std::is_same_v<T, domain_view> ||
+     std::is_same_v<T, server_view> || std::is_same_v<T, log_view> ||
+     std::is_same_v<T, status_view> || std::is_same_v<T, member_view> ||
+     std::is_same_v<T, members_view> || std::is_same_v<T, service_pressure> ||
+     std::is_same_v<T, pressure_view> || std::is_same_v<T, drain_result> ||
+     std::is_same_v<T, explain_view>);
+
+/// Writes a struct as a JSON object. Instantiated for every operator type.
+template <class T, std::enable_if_t<is_operator_type<T>, int> = 0>
+void to_json(nlohmann::json& out, const T& value);
+
+/// Reads a struct from a JSON object. Throws codec_error that names the member at fault.
+template <class T, std::enable_if_t<is_operator_type<T>, int> = 0>
+void from_json(const nlohmann::json& in, T& value);
+
+/// Returns a struct as JSON text. Bytes that are no UTF-8 are replaced.
 template <class Body>
 std::string to_body(const Body& value);
 
-/// Reads a body from JSON text. Throws codec_error that names the member at fault.
+/// Reads a struct from JSON text. Throws codec_error that names the member at fault.
 template <class Body>
 Body parse_body(const std::string& text);
 
