--- /dev/null
+++ b/src/include/fescueridge/state/claims.hpp
@@ -0,0 +1,144 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "fescueridge/base/clock.hpp"
+#include "fescueridge/base/types.hpp"
+#include "fescueridge/state/carried_stream.hpp"
+
+namespace fescueridge
+{
+
+/// Hash of an idempotency key, as claims hold it.
+using key_hash = strong_type<std::uint64_t, struct key_hash_tag>;
+
+/// Returns the hash of a key; equal on every node.
+key_hash hash_of(const idempotency_key& key);
+
+/// Claims a key for a call. The time that the key is remembered stands in the claim, so
+/// nodes with different sheets still decide alike.
+struct claim_entry
+{
+    key_hash key;
+    call_id call;
+    incarnation node;
+    milliseconds remember{0};
+};
+
+/// The call ran, or may have run.
+struct done_entry
+{
+    key_hash key;
+    call_id call;
+};
+
+/// The holder gave the claim up before dispatch.
+struct void_entry
+{
+    key_hash key;
+    call_id call;
+};
+
+/// A key that is taken, in a carry.
+struct taken_key
+{
+    key_hash key;
+    call_id call;
+    bool done = false;
+    std::int64_t expires_ms = 0; ///< By the log service's clock.
+};
+
+/// A call whose claims count no more: voided, or dead for good.
+struct spent_call
+{
+    call_id call;
+    std::int64_t expires_ms = 0;
+};
+
+using claims_entry = std::variant<void_entry, done_entry, claim_entry>;
+
+/// Entries appended together; they count in their order.
+struct claims_batch
+{
+    std::vector<claims_entry> entries;
+};
+
+/// The whole table after every record below `as_of`.
+struct claims_carry
+{
+    log_offset as_of;
+    std::int64_t wall_ms = 0;
+    std::vector<taken_key> keys;
+    std::vector<spent_call> spent;
+};
+
+/// A record of the stream claims.<service>.
+using claims_record = std::variant<claims_batch, claims_carry>;
+
+std::string encode_claims_record(const claims_record& record);
+
+/// Throws codec_error on malformed bytes.
+claims_record decode_claims_record(const std::string& bytes);
+
+/// Returns the name of a service's claims stream.
+std::string claims_stream(const service_name& service);
+
+/// Decision on one claim.
+struct claim_decision
+{
+    call_id call;
+    bool won = false;
+    bool owner_done = false; ///< If not won: the call that holds the key has ended.
+};
+
+/// State of the claims of a service after a prefix of its stream.
+class claims_table
+{
+public:
+    using record_type = claims_record;
+    static record_type decode(const std::string& bytes)
+    {
+        return decode_claims_record(bytes);
+    }
+    static std::optional<log_offset> carry_as_of(const record_type& record);
+    void load(const record_type& carry);
+    void apply(const log_record& raw, const record_type& record);
+
+    /// Returns the decisions since the last call of this function, in log order.
+    std::vector<claim_decision> take_decisions();
+
+    /// Returns the holder of a key that has not expired, or nothing.
+    const taken_key* find(key_hash key) const;
+
+    /// Returns the table as a carry, without what has expired.
+    claims_carry to_carry(log_offset as_of) const;
+
+    std::size_t size() const noexcept { return keys_.size(); }
+
+private:
+    // Time for which a void that has not met its claim is kept: as long as the longest
+    // time of remembering that the sheet allows.
+    static constexpr std::int64_t spent_ms = std::int64_t{31} * 24 * 3'600'000;
+
+    void add(const claim_entry& entry);
+    void add(const done_entry& entry);
+    void add(const void_entry& entry);
+    void spend(const call_id& call);
+    void expire();
+
+    std::unordered_map<key_hash, taken_key> keys_;
+    std::unordered_map<call_id, std::int64_t> spent_;
+    std::vector<claim_decision> decisions_;
+    std::int64_t wall_ms_ = 0;
+    std::int64_t next_expiry_ms_ = 0;
+};
+
+/// Replay of the stream claims.<service>.
+using claims_state = carried_stream<claims_table>;
+
+} // namespace fescueridge
--- /dev/null
+++ b/src/include/fescueridge/state/config_state.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "fescueridge/base/types.hpp"
+#include "fescueridge/state/carried_stream.hpp"
+
+namespace fescueridge
+{
+
+/// Proposes a sheet as the successor of a base version.
+struct submit_record
+{
+    std::string submit_id;
+    sheet_version base;
+    std::string author;
+    std::string content;
+};
+
+/// Repeats the current sheet: its version after every record below `as_of`.
+struct sheet_carry_record
+{
+    sheet_version version;
+    log_offset as_of;
+    std::string content;
+};
+
+/// A record of the stream `config`.
+using config_record = std::variant<submit_record, sheet_carry_record>;
+
+std::string encode_config_record(const config_record& record);
+
+/// Throws codec_error on malformed bytes.
+config_record decode_config_record(const std::string& bytes);
+
+/// The submit made this version.
+struct submit_accepted
+{
+    sheet_version version;
+};
+
+/// Another submit was first. Id and author are empty when the winning record is older
+/// than what this process has read.
+struct submit_lost
+{
+    std::string winner_id;
+    std::string winner_author;
+    sheet_version version; ///< Current version when the submit was decided.
+};
+
+/// The submit is not in the records read so far.
+struct submit_not_seen
+{
+};
+
+using submit_result = std::variant<submit_not_seen, submit_accepted, submit_lost>;
+
+/// State of the sheet after a prefix of the stream. Everyone who replays the same records
+/// from offset 0 or from any verified carry has the same version and content.
+class config_table
+{
+public:
+    using record_type = config_record;
+    static record_type decode(const std::string& bytes)
+    {
+        return decode_config_record(bytes);
+    }
+    static std::optional<log_offset> carry_as_of(const record_type& record);
+    void load(const record_type& carry);
+    void apply(const log_record& raw, const record_type& record);
+
+    sheet_version version() const noexcept { return version_; }
+    const std::string& content() const noexcept { return content_; }
+
+    /// Returns the first decision on a submit id.
+    submit_result result(const std::string& submit_id) const;
+
+private:
+    struct winner
+    {
+        std::string id;
+        std::string author;
+    };
+    // Operators ask for results within seconds; 13,000 changes a day at the design size.
+    static constexpr std::size_t kept_results = 4096;
+
+    void decide(const submit_record& submit);
+
+    sheet_version version_{0};
+    std::string content_;
+    std::map<std::uint64_t, winner> winners_;
+    std::map<std::string, submit_result> results_;
+    std::deque<std::string> result_order_;
+};
+
+/// Replay of the stream `config`.
+using config_state = carried_stream<config_table>;
+
+} // namespace fescueridge
