Add log adapters, sheet acceptance, claims and the log stand-in

Cause: lasting state goes through the log service only, whose answers may be lost and whose records are dropped by age. Ruled out: reused connections of the log client, because a cut idle connection cannot be told from a cut after the send; deciding a claim by the answer to its append, because only log order is the same for everyone. Change: http_log_service and memory_log_service, stream_follower, replay with verified carry shared by sheet and claims, config_follower, claim_client, quarantine and contacts records, fescue_standin_log.

--- a/src/include/fescueridge/state/carried_stream.hpp
+++ b/src/include/fescueridge/state/carried_stream.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -146,11 +147,11 @@
         const record_type carry = waiting_.back().second;
         complete_ = true;
         table_.load(carry);
-        refresh_base(as_of);
         for (const auto& [raw, record] : waiting_)
         {
             if (raw.offset >= as_of)
             {
+                base_wall_ms_ = base_wall_ms_.value_or(raw.wall_ms);
                 table_.apply(raw, record);
             }
         }
--- a/src/include/fescueridge/state/claim_client.hpp
+++ b/src/include/fescueridge/state/claim_client.hpp
@@ -118,13 +118,14 @@
     bool append_batch(const std::vector<claim_entry>& claims);
     void drop_claims(const std::vector<claim_entry>& claims);
     void give_up(calls::iterator found);
+    void give_up_all(std::vector<callback>& refused);
+    void append_last();
     void expire(time_point now, std::vector<callback>& refused);
     std::optional<time_point> next_deadline() const;
     void on_page(const log_page& page);
     void on_truncated(log_offset oldest);
     void decide(std::vector<claim_decision> decisions);
-    void schedule_carry(const log_page& page);
-    std::optional<std::string> due_carry();
+    void carry_if_due();
     void report(const std::string& name, const std::string& reason) const;
 
     log_service& log_;
--- a/src/include/fescueridge/state/config_follower.hpp
+++ b/src/include/fescueridge/state/config_follower.hpp
@@ -33,7 +33,8 @@
 
 struct config_follower_handlers
 {
-    /// A new version is in force; versions only rise. Called without locks held.
+    /// A new version is in force; versions only rise. Calls do not overlap; the handler
+    /// must not call offer().
     std::function<void(const sheet_in_force&)> changed;
     /// A fault of the log or a malformed record; name is a stable event name.
     std::function<void(const std::string& name, const std::string& reason)> fault;
@@ -77,7 +78,7 @@
     void on_page(const log_page& page);
     void on_truncated(log_offset oldest);
     void publish();
-    void carry_if_due(bool at_end);
+    void carry_if_due();
     void report(const std::string& name, const std::string& reason);
     bool append_submit(const submit_record& record);
     void update_following(int waiting_change);
--- a/src/include/fescueridge/state/quarantine_log.hpp
+++ b/src/include/fescueridge/state/quarantine_log.hpp
@@ -52,8 +52,12 @@
     void append(const quarantine_record& record, milliseconds timeout);
 
 private:
+    void on_page(const log_page& page);
+    void report(const error& problem) const;
+
     log_service& log_;
-    std::string stream_;
+    const handler changed_;
+    const std::function<void(const error&)> fault_;
     quarantine_table table_;
     stream_follower follower_;
 };
--- a/src/include/fescueridge/state/stream_follower.hpp
+++ b/src/include/fescueridge/state/stream_follower.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <atomic>
 #include <condition_variable>
 #include <functional>
 #include <mutex>
@@ -17,6 +16,7 @@
 struct follow_options
 {
     std::string stream;
+    bool paused = false; ///< Polls only after set_following(true).
     std::uint32_t page_records = 256;
     milliseconds wait{2'000};    ///< Longest long poll; each poll draws 50 to 100% of it.
     milliseconds timeout{1'000}; ///< Added to the wait of a poll.
@@ -71,7 +71,7 @@
 private:
     void run();
     void poll();
-    bool pause(milliseconds longest, bool jitter);
+    void pause(milliseconds longest);
     void back_off(const error& problem);
 
     log_service& log_;
--- /dev/null
+++ b/src/state/claims.cpp
@@ -0,0 +1,320 @@
+#include "fescueridge/state/claims.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "cbor_fields.hpp"
+#include "fescueridge/base/random.hpp"
+
+namespace fescueridge
+{
+
+namespace
+{
+
+using detail::json;
+
+enum class record_kind : std::uint8_t
+{
+    batch = 1,
+    carry = 2
+};
+
+// Longest time that a claim may ask its key to be remembered.
+constexpr std::uint64_t max_remember_ms = std::uint64_t{31} * 24 * 3'600'000;
+
+/// Appends the fields of an entry to a flat array.
+struct entry_encoder
+{
+    json& out;
+
+    void operator()(const void_entry& e) const { put(0, e.key, e.call); }
+    void operator()(const done_entry& e) const { put(1, e.key, e.call); }
+    void operator()(const claim_entry& e) const
+    {
+        put(2, e.key, e.call);
+        out.push_back(e.node.get());
+        out.push_back(static_cast<std::uint64_t>(e.remember.count()));
+    }
+
+private:
+    void put(unsigned kind, key_hash key, const call_id& call) const
+    {
+        out.push_back(kind);
+        out.push_back(key.get());
+        out.push_back(detail::to_binary(call.get()));
+    }
+};
+
+claims_entry read_entry(detail::cbor_fields& in)
+{
+    const std::uint64_t kind = in.number();
+    const key_hash key(in.number());
+    const call_id call(in.text());
+    if (kind == 0)
+    {
+        return void_entry{key, call};
+    }
+    if (kind == 1)
+    {
+        return done_entry{key, call};
+    }
+    if (kind != 2)
+    {
+        throw codec_error("unknown kind of claims entry: " + std::to_string(kind));
+    }
+    const incarnation node(in.number());
+    const std::uint64_t remember = in.number();
+    if (remember > max_remember_ms)
+    {
+        throw codec_error(
+            "claim asks to be remembered too long: " + std::to_string(remember) + " ms");
+    }
+    return claim_entry{key, call, node, milliseconds(remember)};
+}
+
+claims_batch read_batch(detail::cbor_fields& in)
+{
+    claims_batch batch;
+    while (!in.at_end())
+    {
+        batch.entries.push_back(read_entry(in));
+    }
+    return batch;
+}
+
+claims_carry read_carry(detail::cbor_fields& in)
+{
+    claims_carry carry;
+    carry.as_of = log_offset(in.number());
+    carry.wall_ms = in.signed_number();
+    detail::cbor_fields keys = in.array();
+    while (!keys.at_end())
+    {
+        taken_key taken;
+        taken.key = key_hash(keys.number());
+        taken.call = call_id(keys.text());
+        taken.done = keys.number() != 0;
+        taken.expires_ms = keys.signed_number();
+        carry.keys.push_back(std::move(taken));
+    }
+    detail::cbor_fields spent = in.array();
+    while (!spent.at_end())
+    {
+        spent_call call;
+        call.call = call_id(spent.text());
+        call.expires_ms = spent.signed_number();
+        carry.spent.push_back(std::move(call));
+    }
+    in.expect_end();
+    return carry;
+}
+
+} // namespace
+
+key_hash hash_of(const idempotency_key& key)
+{
+    return key_hash(stable_hash(key.get()));
+}
+
+std::string claims_stream(const service_name& service)
+{
+    return "claims." + service.get();
+}
+
+std::string encode_claims_record(const claims_record& record)
+{
+    json out = json::array();
+    if (const auto* batch = std::get_if<claims_batch>(&record))
+    {
+        out.push_back(static_cast<unsigned>(record_kind::batch));
+        for (const claims_entry& entry : batch->entries)
+        {
+            std::visit(entry_encoder{out}, entry);
+        }
+        return detail::to_cbor(out);
+    }
+    const auto& carry = std::get<claims_carry>(record);
+    json keys = json::array();
+    for (const taken_key& taken : carry.keys)
+    {
+        keys.push_back(taken.key.get());
+        keys.push_back(detail::to_binary(taken.call.get()));
+        keys.push_back(taken.done ? 1U : 0U);
+        keys.push_back(taken.expires_ms);
+    }
+    json spent = json::array();
+    for (const spent_call& call : carry.spent)
+    {
+        spent.push_back(detail::to_binary(call.call.get()));
+        spent.push_back(call.expires_ms);
+    }
+    out.push_back(static_cast<unsigned>(record_kind::carry));
+    out.push_back(carry.as_of.get());
+    out.push_back(carry.wall_ms);
+    out.push_back(std::move(keys));
+    out.push_back(std::move(spent));
+    return detail::to_cbor(out);
+}
+
+claims_record decode_claims_record(const std::string& bytes)
+{
+    detail::cbor_fields in(bytes);
+    const std::uint64_t kind = in.number();
+    if (kind == static_cast<unsigned>(record_kind::batch))
+    {
+        return read_batch(in);
+    }
+    if (kind == static_cast<unsigned>(record_kind::carry))
+    {
+        return read_carry(in);
+    }
+    throw codec_error("unknown kind of claims record: " + std::to_string(kind));
+}
+
+std::optional<log_offset> claims_table::carry_as_of(const record_type& record)
+{
+    const auto* carry = std::get_if<claims_carry>(&record);
+    return carry != nullptr ? std::make_optional(carry->as_of) : std::nullopt;
+}
+
+void claims_table::load(const record_type& record)
+{
+    const auto& carry = std::get<claims_carry>(record);
+    wall_ms_ = carry.wall_ms;
+    for (const taken_key& taken : carry.keys)
+    {
+        keys_[taken.key] = taken;
+    }
+    for (const spent_call& call : carry.spent)
+    {
+        spent_[call.call] = call.expires_ms;
+    }
+}
+
+// Expiry follows the times in the log and never this process's clock, so every reader
+// decides alike.
+void claims_table::apply(const log_record& raw, const record_type& record)
+{
+    wall_ms_ = std::max(wall_ms_, raw.wall_ms);
+    expire();
+    if (const auto* batch = std::get_if<claims_batch>(&record))
+    {
+        for (const claims_entry& entry : batch->entries)
+        {
+            std::visit([this](const auto& e) { add(e); }, entry);
+        }
+    }
+}
+
+// spec/claims.pml, label decide.
+void claims_table::add(const claim_entry& entry)
+{
+    const auto spent = spent_.find(entry.call);
+    if (spent != spent_.end() && spent->second > wall_ms_)
+    {
+        return;
+    }
+    const taken_key* owner = find(entry.key);
+    if (owner == nullptr)
+    {
+        keys_[entry.key] = {entry.key, entry.call, false,
+                            wall_ms_ + entry.remember.count()};
+        decisions_.push_back({entry.call, true, false});
+        return;
+    }
+    if (owner->call == entry.call)
+    {
+        return;
+    }
+    decisions_.push_back({entry.call, false, owner->done});
+    spend(entry.call);
+}
+
+void claims_table::add(const done_entry& entry)
+{
+    const auto found = keys_.find(entry.key);
+    if (found != keys_.end() && found->second.call == entry.call)
+    {
+        found->second.done = true;
+    }
+}
+
+// spec/claims.pml, label apply_void: counts wherever it stands relative to its claim. A
+// call that is done was dispatched, and its key stays taken.
+void claims_table::add(const void_entry& entry)
+{
+    const auto found = keys_.find(entry.key);
+    if (found != keys_.end() && found->second.call == entry.call)
+    {
+        if (found->second.done)
+        {
+            return;
+        }
+        keys_.erase(found);
+    }
+    spend(entry.call);
+}
+
+void claims_table::spend(const call_id& call)
+{
+    spent_[call] = wall_ms_ + spent_ms;
+}
+
+/// Frees the memory of what has expired, once an hour of log time.
+void claims_table::expire()
+{
+    constexpr std::int64_t interval_ms = 3'600'000;
+    if (wall_ms_ < next_expiry_ms_)
+    {
+        return;
+    }
+    next_expiry_ms_ = wall_ms_ + interval_ms;
+    for (auto it = keys_.begin(); it != keys_.end();)
+    {
+        it = it->second.expires_ms <= wall_ms_ ? keys_.erase(it) : std::next(it);
+    }
+    for (auto it = spent_.begin(); it != spent_.end();)
+    {
+        it = it->second <= wall_ms_ ? spent_.erase(it) : std::next(it);
+    }
+}
+
+std::vector<claim_decision> claims_table::take_decisions()
+{
+    return std::exchange(decisions_, {});
+}
+
+const taken_key* claims_table::find(key_hash key) const
+{
+    const auto found = keys_.find(key);
+    if (found == keys_.end() || found->second.expires_ms <= wall_ms_)
+    {
+        return nullptr;
+    }
+    return &found->second;
+}
+
+claims_carry claims_table::to_carry(log_offset as_of) const
+{
+    claims_carry carry;
+    carry.as_of = as_of;
+    carry.wall_ms = wall_ms_;
+    for (const auto& [key, taken] : keys_)
+    {
+        if (taken.expires_ms > wall_ms_)
+        {
+            carry.keys.push_back(taken);
+        }
+    }
+    for (const auto& [call, expires_ms] : spent_)
+    {
+        if (expires_ms > wall_ms_)
+        {
+            carry.spent.push_back({call, expires_ms});
+        }
+    }
+    return carry;
+}
+
+} // namespace fescueridge
--- /dev/null
+++ b/src/state/config_follower.cpp
@@ -0,0 +1,266 @@
+#include "fescueridge/state/config_follower.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <utility>
+
+namespace fescueridge
+{
+
+namespace
+{
+
+// A submit whose answer was lost is looked for in the log this long before the next
+// append.
+constexpr milliseconds read_back_time{1'000};
+
+follow_options paused(follow_options options)
+{
+    options.paused = true;
+    return options;
+}
+
+bool is_decided(const submit_result& result)
+{
+    return !std::holds_alternative<submit_not_seen>(result);
+}
+
+} // namespace
+
+config_follower::config_follower(log_service& log, config_follower_options options,
+                                 config_follower_handlers handlers)
+    : log_(log), options_(std::move(options)), handlers_(std::move(handlers)),
+      random_(random_seed()), id_prefix_(fmt::format("{:016x}", random_())),
+      follower_(log, paused(options_.follow),
+                {[this](const log_page& page) { on_page(page); },
+                 [this](log_offset oldest) { on_truncated(oldest); },
+                 [this](const error& problem)
+                 {
+                     const bool backwards =
+                         dynamic_cast<const log_backwards_error*>(&problem) != nullptr;
+                     report(backwards ? "log_backwards" : "log_unavailable",
+                            problem.what());
+                 }})
+{
+}
+
+config_follower::~config_follower()
+{
+    stop();
+}
+
+void config_follower::set_following(bool following)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    following_ = following;
+    follower_.set_following(following_ || waiting_submits_ > 0);
+}
+
+void config_follower::update_following(int waiting_change)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    waiting_submits_ += waiting_change;
+    follower_.set_following(following_ || waiting_submits_ > 0);
+}
+
+bool config_follower::offer(const sheet_in_force& sheet)
+{
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (in_force_ && sheet.version <= in_force_->version)
+        {
+            return false;
+        }
+        in_force_ = sheet;
+    }
+    publish();
+    return true;
+}
+
+std::optional<sheet_in_force> config_follower::current() const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return in_force_;
+}
+
+bool config_follower::caught_up() const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return caught_up_;
+}
+
+void config_follower::on_page(const log_page& page)
+{
+    std::vector<config_state::malformed> problems;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        for (const log_record& record : page.records)
+        {
+            if (auto problem = state_.add(record))
+            {
+                problems.push_back(std::move(*problem));
+            }
+        }
+        const bool at_end = page.next == state_.next();
+        caught_up_ = caught_up_ || (at_end && state_.complete());
+        const sheet_version version = state_.table().version();
+        const sheet_version known = in_force_ ? in_force_->version : sheet_version(0);
+        // A reader that is still catching up must not put an old version into force.
+        // spec/sheet.pml, label adopt: the version in force never goes down.
+        if (caught_up_ && at_end && version > known)
+        {
+            in_force_ = sheet_in_force{version, state_.next(), state_.table().content()};
+        }
+        changed_.notify_all();
+    }
+    for (const config_state::malformed& problem : problems)
+    {
+        report("config_record_malformed",
+               fmt::format("offset {}: {}", problem.offset.get(), problem.reason));
+    }
+    publish();
+    carry_if_due();
+}
+
+void config_follower::on_truncated(log_offset oldest)
+{
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        state_.restart(oldest);
+        carry_due_.reset();
+    }
+    report("log_truncated", fmt::format("reading goes on at offset {}", oldest.get()));
+}
+
+void config_follower::publish()
+{
+    const std::lock_guard<std::mutex> in_order(publish_mutex_);
+    const std::optional<sheet_in_force> sheet = current();
+    if (sheet && sheet->version > published_)
+    {
+        published_ = sheet->version;
+        if (handlers_.changed)
+        {
+            handlers_.changed(*sheet);
+        }
+    }
+}
+
+/// Appends the sheet again when its carrying record gets old. The random delay lets one
+/// reader be first; the others see its carry and drop theirs.
+void config_follower::carry_if_due()
+{
+    sheet_carry_record carry;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (!caught_up_ || !state_.needs_carry(wall_clock_ms(), options_.retention))
+        {
+            carry_due_.reset();
+            return;
+        }
+        const time_point now = clock::now();
+        if (!carry_due_)
+        {
+            std::uniform_int_distribution<std::int64_t> delay(
+                0, options_.retention.count() / 8);
+            carry_due_ = now + milliseconds(delay(random_));
+        }
+        if (now < *carry_due_)
+        {
+            return;
+        }
+        carry_due_.reset();
+        carry = {state_.table().version(), state_.next(), state_.table().content()};
+    }
+    try
+    {
+        log_.append(options_.follow.stream, encode_config_record(carry),
+                    options_.append_timeout);
+    }
+    catch (const error& problem)
+    {
+        report("carry_failed", problem.what());
+    }
+}
+
+void config_follower::report(const std::string& name, const std::string& reason)
+{
+    if (handlers_.fault)
+    {
+        handlers_.fault(name, reason);
+    }
+}
+
+/// Returns true if the append was answered, false if it may have taken effect.
+bool config_follower::append_submit(const submit_record& record)
+{
+    try
+    {
+        log_.append(options_.follow.stream, encode_config_record(record),
+                    options_.append_timeout);
+        return true;
+    }
+    catch (const log_unknown_error&)
+    {
+        return false;
+    }
+}
+
+submit_result config_follower::submit(const std::string& content, sheet_version base,
+                                      const std::string& author)
+{
+    submit_record record{"", base, author, content};
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        record.submit_id = fmt::format("{}-{}", id_prefix_, ++submit_counter_);
+    }
+    struct following_scope
+    {
+        config_follower& owner;
+        explicit following_scope(config_follower& f) : owner(f)
+        {
+            owner.update_following(1);
+        }
+        ~following_scope() { owner.update_following(-1); }
+    } const scope(*this);
+    const time_point deadline = clock::now() + options_.submit_timeout;
+    bool answered = append_submit(record);
+    while (true)
+    {
+        std::unique_lock<std::mutex> lock(mutex_);
+        const auto is_over = [&]
+        {
+            return stopping_ || is_decided(state_.table().result(record.submit_id));
+        };
+        const time_point until =
+            answered ? deadline : std::min(deadline, clock::now() + read_back_time);
+        changed_.wait_until(lock, until, is_over);
+        if (is_over() || clock::now() >= deadline)
+        {
+            return state_.table().result(record.submit_id);
+        }
+        lock.unlock();
+        // spec/sheet.pml, label retry_submit: the same id, so it counts once.
+        try
+        {
+            answered = append_submit(record);
+        }
+        catch (const log_unavailable_error&)
+        {
+            // An earlier append may still be in the log, so the result is not known yet.
+            answered = false;
+        }
+    }
+}
+
+void config_follower::stop()
+{
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        stopping_ = true;
+        changed_.notify_all();
+    }
+    follower_.stop();
+}
+
+} // namespace fescueridge
--- /dev/null
+++ b/src/state/stream_follower.cpp
@@ -0,0 +1,123 @@
+#include "fescueridge/state/stream_follower.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <utility>
+
+namespace fescueridge
+{
+
+log_backwards_error::log_backwards_error(const std::string& stream, log_offset known,
+                                         log_offset seen)
+    : error(fmt::format("stream {} ends at offset {}, but {} was read already", stream,
+                        seen.get(), known.get())),
+      known_(known), seen_(seen)
+{
+}
+
+stream_follower::stream_follower(log_service& log, follow_options options,
+                                 follow_handlers handlers)
+    : log_(log), options_(std::move(options)), handlers_(std::move(handlers)),
+      random_(random_seed()), following_(!options_.paused), thread_([this] { run(); })
+{
+}
+
+stream_follower::~stream_follower()
+{
+    stop();
+}
+
+void stream_follower::set_following(bool following)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    following_ = following;
+    wake_.notify_all();
+}
+
+void stream_follower::stop()
+{
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        stopping_ = true;
+        wake_.notify_all();
+    }
+    if (thread_.joinable())
+    {
+        thread_.join();
+    }
+}
+
+void stream_follower::run()
+{
+    while (true)
+    {
+        {
+            std::unique_lock<std::mutex> lock(mutex_);
+            wake_.wait(lock, [this] { return stopping_ || following_; });
+            if (stopping_)
+            {
+                return;
+            }
+        }
+        try
+        {
+            poll();
+        }
+        catch (const log_truncated_error& problem)
+        {
+            next_ = problem.oldest();
+            handlers_.truncated(next_);
+        }
+        catch (const error& problem)
+        {
+            back_off(problem);
+            continue;
+        }
+        backoff_ = milliseconds(0);
+        pause(options_.interval);
+    }
+}
+
+void stream_follower::poll()
+{
+    std::uniform_int_distribution<std::int64_t> wait(options_.wait.count() / 2,
+                                                     options_.wait.count());
+    const milliseconds drawn(wait(random_));
+    const log_page page = log_.read(options_.stream, next_, options_.page_records, drawn,
+                                    drawn + options_.timeout);
+    if (page.next < next_)
+    {
+        throw log_backwards_error(options_.stream, next_, page.next);
+    }
+    if (!page.records.empty())
+    {
+        next_ = log_offset(page.records.back().offset.get() + 1);
+    }
+    handlers_.page(page);
+}
+
+void stream_follower::back_off(const error& problem)
+{
+    if (backoff_ == milliseconds(0))
+    {
+        handlers_.fault(problem);
+    }
+    backoff_ = std::clamp(backoff_ * 2, options_.min_backoff, options_.max_backoff);
+    pause(backoff_);
+}
+
+/// Waits a random part of `longest`, so nodes that failed together do not return
+/// together.
+void stream_follower::pause(milliseconds longest)
+{
+    if (longest <= milliseconds(0))
+    {
+        return;
+    }
+    std::uniform_int_distribution<std::int64_t> part(longest.count() / 4,
+                                                     longest.count());
+    std::unique_lock<std::mutex> lock(mutex_);
+    wake_.wait_for(lock, milliseconds(part(random_)), [this] { return stopping_; });
+}
+
+} // namespace fescueridge
