Add gossip membership with its UDP adapter and tests

Cause: nodes need a member table that survives deaths, freezes, cuts, lost datagrams and duplicate ids without the log. Ruled out: believing a remote claim of death at once, since both sides of a healed cut would then hold their own members for dead for a moment; sending whole records for every news, since a short update is a third of the size. Change: wire format, failure detection, merging, table exchange, UDP adapter, an in-memory fleet for tests.

--- /dev/null
+++ b/src/membership/gossip_state.hpp
@@ -0,0 +1,188 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "fescueridge/membership/gossip_core.hpp"
+#include "wire.hpp"
+
+namespace fescueridge::detail
+{
+
+/// Bookkeeping of one record that is still to be passed on.
+struct spread
+{
+    std::uint32_t left = 0; ///< Transmissions left.
+    bool urgent = false;    ///< Goes out in push datagrams, not only on probes.
+    bool full = false;      ///< The receivers may not know the whole record.
+    bool listed = false;    ///< The entry is in the list of entries to spread.
+};
+
+/// A member of the table.
+struct entry
+{
+    member_record record;
+    std::uint64_t content = 1; ///< See update::content.
+    liveness status = liveness::alive;
+    time_point status_since;
+    time_point last_heard;    ///< A datagram came from the member itself.
+    time_point last_reminder; ///< The member was told that it is suspect or dead.
+    spread news;
+};
+
+/// A probe that waits for its ack.
+struct probe
+{
+    node_id target;
+    std::uint64_t nonce = 0;
+    time_point started;
+    time_point next_direct;
+    time_point next_indirect;
+};
+
+/// A probe on behalf of another node.
+struct relayed_probe
+{
+    endpoint asker;
+    node_id target;
+    std::uint64_t asker_nonce = 0;
+    time_point expires;
+};
+
+/// The transmission of the whole table to one joining node.
+struct sync_job
+{
+    endpoint to;
+    std::vector<node_id> nodes;
+    std::size_t next = 0;
+};
+
+/// A higher incarnation of this node's id that is being probed.
+struct contest
+{
+    incarnation number;
+    endpoint address;
+    std::uint64_t nonce = 0;
+    time_point deadline;
+    time_point next_probe;
+};
+
+/// Up to this number of members every news is urgent.
+constexpr std::size_t small_fleet = 200;
+
+/// State and rules of gossip_core.
+class gossip_state
+{
+public:
+    gossip_state(member_record self, std::vector<endpoint> contacts, random_engine random,
+                 time_point now, gossip_options options);
+
+    std::vector<outgoing_datagram> tick(time_point now);
+    std::vector<outgoing_datagram> receive(time_point now, const endpoint& from,
+                                           std::string_view bytes);
+    void update_self(const std::function<void(member_record&)>& edit);
+    void add_contacts(const std::vector<endpoint>& contacts);
+
+    const member_record& self() const noexcept { return self_.record; }
+    bool superseded() const noexcept { return superseded_; }
+    std::vector<member_view> members() const;
+    std::optional<member_view> find(const node_id& node) const;
+    std::vector<member_change> take_changes();
+
+private:
+    // Failure detection (gossip_state.cpp).
+    void skip_pause(time_point now);
+    void start_probe();
+    void advance_probes();
+    bool advance_probe(probe& item);
+    void send_ping(const entry& target, std::uint64_t nonce);
+    void send_indirect(const entry& target, std::uint64_t nonce);
+    void expire_suspects();
+    void remind(entry& item);
+    void probe_dead();
+    void probe_contact();
+    void send_join();
+    void advance_contest();
+    void push_news();
+    entry* next_probe_target();
+    entry* random_member(liveness status);
+    std::vector<entry*> random_alive(std::size_t count, const entry* except);
+    void forget_old();
+
+    // Handling of datagrams and updates (merge.cpp).
+    void handle(const endpoint& from, const datagram& message);
+    void handle_own_id(const endpoint& from, const datagram& message);
+    void note_sender(const endpoint& from, const datagram& message);
+    void apply(const endpoint& from, const update& news);
+    void apply_about_self(const endpoint& from, const update& news);
+    void apply_to_known(const endpoint& from, entry& item, const update& news);
+    void apply_claim(entry& item, const update& news);
+    void apply_alive(entry& item, const update& news);
+    void add_member(const update& news);
+    void set_status(entry& item, liveness status, change_kind kind);
+    void report(change_kind kind, const entry& item);
+    void start_contest(const incarnation& number, const endpoint& address);
+    void acknowledge(const endpoint& from, const datagram& message);
+    void take_ack(const endpoint& from, const datagram& message, bool known);
+    void relay(const endpoint& from, const datagram& message);
+    entry* lookup(const node_id& node);
+
+    // Spreading and exchange of tables (exchange.cpp).
+    void spread_news(entry& item, bool urgent, bool full);
+    std::uint32_t transmissions(bool urgent) const;
+    datagram make(datagram_kind kind) const;
+    update make_update(const entry& item, bool full) const;
+    void send(const endpoint& to, const datagram& message);
+    void send_nodes(const endpoint& to, const std::vector<node_id>& nodes, bool full);
+    void start_sync(const endpoint& to);
+    void advance_syncs();
+    void take_sync(const endpoint& from, const datagram& message);
+    void start_digest(const endpoint& to);
+    void start_digest_now_and_then(const endpoint& to);
+    void answer_digest(const endpoint& from, const datagram& message);
+    void answer_buckets(const endpoint& from, const datagram& message);
+    std::vector<std::uint32_t> hash_table() const;
+    std::vector<node_id> nodes_in(const std::vector<std::uint32_t>& buckets) const;
+    void want(const endpoint& from, const node_id& node);
+    void flush_wanted();
+
+    gossip_options options_;
+    random_engine random_;
+    entry self_;
+    std::vector<endpoint> contacts_;
+    std::unordered_map<std::string, std::unique_ptr<entry>> table_;
+    std::vector<entry*> order_; ///< Order of probing; shuffled after each round.
+    std::size_t next_in_order_ = 0;
+    std::vector<entry*> hot_; ///< Entries with news to spread.
+    std::vector<probe> probes_;
+    std::unordered_map<std::uint64_t, relayed_probe> relayed_;
+    std::deque<sync_job> syncs_;
+    std::map<endpoint, std::set<node_id>> wanted_; ///< Pulls to send.
+    std::optional<contest> contest_;
+    std::vector<member_change> changes_;
+    std::vector<outgoing_datagram> out_;
+    std::size_t alive_ = 0;
+    std::size_t dead_ = 0;
+    bool superseded_ = false;
+    bool synced_ = false;  ///< A whole table was received since the start.
+    bool in_sync_ = false; ///< A part of a whole table is being applied.
+    double allowance_ = 0;
+    time_point now_;
+    time_point last_tick_;
+    time_point next_probe_;
+    time_point next_dead_probe_;
+    time_point next_join_;
+    time_point next_digest_;
+    time_point next_extra_digest_;
+    time_point next_push_;
+    time_point next_forget_;
+};
+
+} // namespace fescueridge::detail
--- /dev/null
+++ b/src/membership/gossip_test.cpp
@@ -0,0 +1,326 @@
+#include <criterion/criterion.h>
+
+#include <cstdio>
+
+#include "gossip_fleet.hpp"
+
+using namespace fescueridge;
+using std::chrono::seconds;
+
+namespace
+{
+
+constexpr milliseconds forever{60'000};
+
+// Starts a fleet and waits until everybody knows everybody.
+void settle(gossip_fleet& fleet, std::size_t count)
+{
+    fleet.start_many(count);
+    cr_assert(fleet.run(forever, [&] { return fleet.converged(); }));
+    fleet.run(seconds(3));
+}
+
+std::size_t count_changes(gossip_core& core, change_kind kind)
+{
+    std::size_t result = 0;
+    for (const member_change& change : core.take_changes())
+    {
+        result += change.kind == kind ? 1 : 0;
+    }
+    return result;
+}
+
+} // namespace
+
+// Guards against nodes that never learn of each other from one contact alone, and against
+// datagrams over the bound.
+Test(gossip, nodes_join_through_one_contact)
+{
+    gossip_fleet fleet(1);
+    fleet.start_many(40);
+    cr_assert(fleet.run(seconds(3), [&] { return fleet.converged(); }));
+    cr_assert(fleet.largest <= max_gossip_datagram);
+}
+
+// Guards against a fresh node that gives up when most of its contacts are dead, and
+// against a table that arrives only in part when it takes several datagrams.
+Test(gossip, fresh_node_needs_one_live_contact)
+{
+    gossip_fleet fleet(2);
+    settle(fleet, 60);
+    std::vector<endpoint> contacts;
+    for (std::size_t i = 200; i < 204; ++i)
+    {
+        contacts.push_back(gossip_fleet::address(i));
+    }
+    contacts.push_back(gossip_fleet::address(17));
+    fleet.start("fresh", contacts);
+    cr_assert(fleet.run(seconds(8), [&] { return fleet.converged(); }));
+}
+
+// Guards against deaths that stay unseen, against a bound above the 1.5 s plus one probe
+// period and the spread, and against deaths of members that live.
+Test(gossip, death_is_seen_by_all)
+{
+    for (std::uint64_t seed = 10; seed < 20; ++seed)
+    {
+        gossip_fleet fleet(seed);
+        settle(fleet, 20);
+        fleet.stop(7);
+        const time_point start = fleet.now;
+        cr_assert(fleet.run(seconds(4),
+                            [&] { return fleet.count("n7", liveness::dead) == 19; }),
+                  "seed %zu", static_cast<std::size_t>(seed));
+        cr_assert(fleet.now - start >= milliseconds(900));
+        fleet.run(seconds(5));
+        cr_assert(fleet.converged(), "seed %zu", static_cast<std::size_t>(seed));
+    }
+}
+
+// Guards against a frozen node that stays dead after it resumes under its old address, or
+// that declares the others dead because of its own pause.
+Test(gossip, frozen_node_returns)
+{
+    gossip_fleet fleet(30);
+    settle(fleet, 12);
+    bool frozen = true;
+    fleet.is_paused = [&](std::size_t place)
+    {
+        return frozen && place == 3;
+    };
+    cr_assert(
+        fleet.run(seconds(5), [&] { return fleet.count("n3", liveness::dead) == 11; }));
+    fleet.run(seconds(20));
+    fleet[3].take_changes();
+    frozen = false;
+    cr_assert(fleet.run(seconds(5), [&] { return fleet.converged(); }));
+    cr_assert(count_changes(fleet[3], change_kind::died) == 0);
+}
+
+// Guards against a node that keeps serving although a later start uses its id.
+Test(gossip, lower_incarnation_of_a_duplicate_id_yields)
+{
+    gossip_fleet fleet(40);
+    settle(fleet, 8);
+    const std::size_t twin = fleet.start("n5", {gossip_fleet::address(0)}, 2000);
+    cr_assert(fleet.run(seconds(5), [&] { return fleet[5].superseded(); }));
+    cr_assert(count_changes(fleet[5], change_kind::duplicate_id) == 1);
+    fleet.run(seconds(5));
+    cr_assert(!fleet[twin].superseded());
+    cr_assert(fleet[1].find(node_id("n5"))->record.gossip == fleet.address(twin));
+    cr_assert(fleet[1].find(node_id("n5"))->status == liveness::alive);
+}
+
+// Guards against a node that yields to, or is hidden by, its dead predecessor whose
+// incarnation is higher because the wall clock stepped back; at the same address and at
+// another one.
+Test(gossip, dead_predecessor_is_outbid)
+{
+    for (const bool same_address : {true, false})
+    {
+        gossip_fleet fleet(50);
+        settle(fleet, 8);
+        fleet.stop(4);
+        fleet.run(same_address ? milliseconds(100) : seconds(4));
+        std::size_t place = 4;
+        if (same_address)
+        {
+            fleet.start_at(4, "n4", {gossip_fleet::address(0)}, 10);
+        }
+        else
+        {
+            place = fleet.start("n4", {gossip_fleet::address(0)}, 10);
+        }
+        const auto known = [&]
+        {
+            const auto view = fleet[1].find(node_id("n4"));
+            return view && view->status == liveness::alive &&
+                   view->record.number == incarnation(1001) &&
+                   view->record.gossip == fleet.address(place);
+        };
+        cr_assert(fleet.run(seconds(6), known), "same address: %d", same_address);
+        cr_assert(!fleet[place].superseded());
+    }
+}
+
+// Guards against a cut that hides members of the own side, and against sides that stay
+// apart, or hold each other's or their own members for dead, after it has healed.
+Test(gossip, partition_heals_within_five_seconds)
+{
+    for (std::uint64_t seed = 60; seed < 66; ++seed)
+    {
+        gossip_fleet fleet(seed);
+        settle(fleet, 30);
+        fleet.is_cut = [](std::size_t from, std::size_t to)
+        {
+            return from % 2 != to % 2;
+        };
+        fleet.run(seconds(20));
+        for (const member_view& view : fleet[0].members())
+        {
+            const bool same_side = view.record.domain == domain_name("a");
+            cr_assert((view.status == liveness::alive) == same_side);
+        }
+        fleet[0].take_changes();
+        fleet.is_cut = nullptr;
+        cr_assert(fleet.run(seconds(5), [&] { return fleet.converged(); }), "seed %zu",
+                  static_cast<std::size_t>(seed));
+        cr_assert(count_changes(fleet[0], change_kind::died) == 0);
+    }
+}
+
+// Guards against two parts that started while they could not reach each other and share
+// nothing but a contact.
+Test(gossip, parts_that_started_apart_meet)
+{
+    gossip_fleet fleet(70);
+    fleet.is_cut = [](std::size_t from, std::size_t to)
+    {
+        return from % 2 != to % 2;
+    };
+    const std::vector<endpoint> contacts{fleet.address(0), fleet.address(1)};
+    for (std::size_t i = 0; i < 12; ++i)
+    {
+        fleet.start("n" + std::to_string(i), contacts);
+    }
+    fleet.run(seconds(10));
+    fleet.is_cut = nullptr;
+    cr_assert(fleet.run(seconds(5), [&] { return fleet.converged(); }));
+}
+
+// Guards against false deaths that last, joins that fail and deaths that stay unseen when
+// three in ten datagrams are lost.
+Test(gossip, survives_loss_of_datagrams)
+{
+    for (std::uint64_t seed = 80; seed < 84; ++seed)
+    {
+        gossip_fleet fleet(seed);
+        fleet.drop_percent = 30;
+        fleet.start_many(20);
+        cr_assert(fleet.run(seconds(10), [&] { return fleet.converged(); }));
+        std::size_t deaths = 0;
+        fleet.run(seconds(60));
+        for (std::size_t i = 0; i < fleet.size(); ++i)
+        {
+            deaths += count_changes(fleet[i], change_kind::died);
+        }
+        // 60 s * 20 members * 2 probes each; a death is counted by each of 19 others.
+        cr_expect(deaths <= 19, "seed %zu: %zu deaths", static_cast<std::size_t>(seed),
+                  deaths);
+        cr_assert(fleet.run(seconds(5), [&] { return fleet.converged(); }));
+        fleet.stop(3);
+        cr_assert(fleet.run(seconds(6),
+                            [&] { return fleet.count("n3", liveness::dead) == 19; }));
+    }
+}
+
+// Guards against calls that still reach a draining server 2 s after the drain.
+Test(gossip, drain_spreads_within_two_seconds)
+{
+    gossip_fleet fleet(90);
+    settle(fleet, 200);
+    fleet[150].update_self([](member_record& self)
+                           { self.state = server_state::draining; });
+    const auto known = [&]
+    {
+        for (std::size_t i = 0; i < fleet.size(); ++i)
+        {
+            const auto view = fleet[i].find(node_id("n150"));
+            if (i != 150 && view->record.state != server_state::draining)
+            {
+                return false;
+            }
+        }
+        return true;
+    };
+    cr_assert(fleet.run(seconds(2), known));
+}
+
+// Guards against a member whose other fields stay stale when the one full update about
+// them is lost and a short one follows it.
+Test(gossip, lost_full_update_is_fetched)
+{
+    gossip_fleet fleet(100);
+    settle(fleet, 10);
+    fleet.drop_percent = 100;
+    fleet[2].update_self([](member_record& self) { self.slots = slot_count(99); });
+    fleet.run(milliseconds(300));
+    fleet.drop_percent = 0;
+    const auto known = [&]
+    {
+        return fleet[8].find(node_id("n2"))->record.slots == slot_count(99);
+    };
+    cr_assert(fleet.run(seconds(10), known));
+    cr_assert(fleet[2].self().node == node_id("n2"));
+}
+
+// Guards against members that are kept for ever after their VM was replaced.
+Test(gossip, dead_members_are_forgotten)
+{
+    gossip_options options;
+    options.forget_after = seconds(30);
+    time_point now{milliseconds(5000)};
+    gossip_core a(gossip_fleet::record("a", 0, 1), {}, random_engine(1), now, options);
+    gossip_core b(gossip_fleet::record("b", 1, 1), {gossip_fleet::address(0)},
+                  random_engine(2), now, options);
+    for (const outgoing_datagram& item : b.tick(now))
+    {
+        a.receive(now, gossip_fleet::address(1), item.bytes);
+    }
+    cr_assert(a.find(node_id("b")).has_value());
+    for (int i = 0; i < 40 * 50; ++i)
+    {
+        now += milliseconds(50);
+        a.tick(now);
+    }
+    cr_assert(!a.find(node_id("b")).has_value());
+    cr_assert(count_changes(a, change_kind::forgotten) == 1);
+}
+
+// Guards against malformed datagrams that crash the node, throw anything but codec_error,
+// or change the table although they were refused. Seeded mutation of real datagrams.
+Test(gossip, malformed_datagrams_are_refused)
+{
+    gossip_fleet fleet(110);
+    settle(fleet, 5);
+    random_engine random(111);
+    const time_point now = fleet.now;
+    std::vector<std::string> samples;
+    for (int i = 1; samples.size() < 40; ++i)
+    {
+        fleet[1].update_self([](member_record& self) { self.slots = slot_count(7); });
+        for (outgoing_datagram& item : fleet[1].tick(now + milliseconds(50 * i)))
+        {
+            samples.push_back(std::move(item.bytes));
+        }
+    }
+    std::size_t refused = 0;
+    for (int i = 0; i < 100'000; ++i)
+    {
+        std::string bytes = samples[random() % samples.size()];
+        const std::size_t flips = 1 + random() % 4;
+        for (std::size_t flip = 0; flip < flips; ++flip)
+        {
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+        }
+        if (random() % 4 == 0)
+        {
+            bytes.resize(random() % bytes.size());
+        }
+        const std::size_t before = fleet[0].members().size();
+        try
+        {
+            fleet[0].receive(now, gossip_fleet::address(1), bytes);
+        }
+        catch (const codec_error&)
+        {
+            ++refused;
+            cr_assert(fleet[0].members().size() == before);
+            cr_assert(fleet[0].take_changes().empty());
+        }
+        fleet[0].take_changes();
+    }
+    cr_assert(refused > 10'000);
+    cr_assert_throw(fleet[0].receive(now, fleet.address(1), std::string(1201, 'x')),
+                    codec_error);
+}
--- /dev/null
+++ b/src/membership/gossip_udp.cpp
@@ -0,0 +1,314 @@
+#include "fescueridge/membership/gossip_udp.hpp"
+
+#include <array>
+#include <atomic>
+#include <mutex>
+
+#include <asio/ip/udp.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/strand.hpp>
+#include <fmt/format.h>
+
+#include "fescueridge/base/error.hpp"
+
+namespace fescueridge
+{
+
+namespace
+{
+
+using asio::ip::udp;
+
+constexpr milliseconds tick_period{50};
+
+// One byte more than allowed, so that an oversized datagram is seen as such.
+constexpr std::size_t receive_size = max_gossip_datagram + 1;
+
+udp::endpoint to_asio(const endpoint& address)
+{
+    std::error_code problem;
+    const auto number = asio::ip::make_address(address.address, problem);
+    if (problem)
+    {
+        throw address_error(fmt::format("\"{}\" is not an IP address", address.address));
+    }
+    return {number, address.port};
+}
+
+endpoint from_asio(const udp::endpoint& address)
+{
+    return {address.address().to_string(), address.port()};
+}
+
+udp::socket open_socket(const asio::any_io_executor& executor, const endpoint& address)
+{
+    try
+    {
+        return udp::socket(executor, to_asio(address));
+    }
+    catch (const std::system_error& problem)
+    {
+        throw address_error(fmt::format("cannot open gossip on {}: {}",
+                                        to_string(address), problem.what()));
+    }
+}
+
+member_record with_port(member_record record, std::uint16_t port)
+{
+    record.gossip.port = port;
+    return record;
+}
+
+} // namespace
+
+/// Everything that handlers on the io_context need; they keep it alive.
+class gossip_udp::impl : public std::enable_shared_from_this<impl>
+{
+public:
+    impl(asio::io_context& context, member_record self, std::vector<endpoint> contacts,
+         gossip_callbacks callbacks, gossip_options options)
+        : strand_(asio::make_strand(context)), socket_(open_socket(strand_, self.gossip)),
+          timer_(strand_), callbacks_(std::move(callbacks)),
+          core_(with_port(std::move(self), socket_.local_endpoint().port()),
+                std::move(contacts), random_engine(random_seed()), clock::now(), options)
+    {
+        local_ = from_asio(socket_.local_endpoint());
+        socket_.non_blocking(true);
+    }
+
+    void start()
+    {
+        asio::post(strand_,
+                   [self = shared_from_this()]
+                   {
+                       self->receive_next();
+                       self->tick();
+                   });
+    }
+
+    void stop()
+    {
+        stopped_ = true;
+        asio::post(strand_,
+                   [self = shared_from_this()]
+                   {
+                       std::error_code ignored;
+                       self->socket_.close(ignored);
+                       self->timer_.cancel();
+                   });
+    }
+
+    endpoint local() const { return local_; }
+
+    template <class Function>
+    auto locked(Function function) const
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return function(core_);
+    }
+
+    void update_self(const std::function<void(member_record&)>& edit)
+    {
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            core_.update_self(edit);
+        }
+        asio::post(strand_, [self = shared_from_this()] { self->run_timers(); });
+    }
+
+    void add_contacts(const std::vector<endpoint>& contacts)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        core_.add_contacts(contacts);
+    }
+
+    gossip_counters counters() const
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return counters_;
+    }
+
+private:
+    void tick()
+    {
+        if (stopped_)
+        {
+            return;
+        }
+        run_timers();
+        timer_.expires_after(tick_period);
+        timer_.async_wait(
+            [self = shared_from_this()](const std::error_code& problem)
+            {
+                if (!problem)
+                {
+                    self->tick();
+                }
+            });
+    }
+
+    void run_timers()
+    {
+        if (!stopped_)
+        {
+            step([](gossip_core& core) { return core.tick(clock::now()); });
+        }
+    }
+
+    void receive_next()
+    {
+        if (stopped_)
+        {
+            return;
+        }
+        socket_.async_receive_from(
+            asio::buffer(buffer_), sender_,
+            [self = shared_from_this()](const std::error_code& problem, std::size_t size)
+            {
+                if (problem == asio::error::operation_aborted)
+                {
+                    return;
+                }
+                if (!problem)
+                {
+                    self->take(size);
+                }
+                self->receive_next();
+            });
+    }
+
+    void take(std::size_t size)
+    {
+        const endpoint from = from_asio(sender_);
+        try
+        {
+            step(
+                [&](gossip_core& core)
+                {
+                    ++counters_.messages_received;
+                    counters_.bytes_received += size;
+                    return core.receive(clock::now(), from, {buffer_.data(), size});
+                });
+        }
+        catch (const codec_error& problem)
+        {
+            {
+                const std::lock_guard<std::mutex> lock(mutex_);
+                ++counters_.malformed;
+            }
+            if (callbacks_.on_malformed)
+            {
+                callbacks_.on_malformed(from, problem.what());
+            }
+        }
+    }
+
+    // Runs a step of the core under the lock, then sends and reports without it.
+    template <class Step>
+    void step(Step run)
+    {
+        std::vector<outgoing_datagram> datagrams;
+        std::vector<member_change> changes;
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            datagrams = run(core_);
+            changes = core_.take_changes();
+            counters_.messages_sent += datagrams.size();
+            for (const outgoing_datagram& item : datagrams)
+            {
+                counters_.bytes_sent += item.bytes.size();
+            }
+        }
+        for (const outgoing_datagram& item : datagrams)
+        {
+            send(item);
+        }
+        if (!changes.empty() && callbacks_.on_change)
+        {
+            callbacks_.on_change(changes);
+        }
+    }
+
+    // Errors are ignored: to the protocol they are lost datagrams.
+    void send(const outgoing_datagram& item)
+    {
+        std::error_code ignored;
+        const auto number = asio::ip::make_address(item.to.address, ignored);
+        if (!ignored)
+        {
+            socket_.send_to(asio::buffer(item.bytes), {number, item.to.port}, 0, ignored);
+        }
+    }
+
+    asio::strand<asio::io_context::executor_type> strand_;
+    udp::socket socket_;
+    asio::steady_timer timer_;
+    gossip_callbacks callbacks_;
+    endpoint local_;
+    std::atomic<bool> stopped_{false};
+    std::array<char, receive_size> buffer_{};
+    udp::endpoint sender_;
+    mutable std::mutex mutex_;
+    gossip_core core_;
+    gossip_counters counters_;
+};
+
+gossip_udp::gossip_udp(asio::io_context& context, member_record self,
+                       std::vector<endpoint> contacts, gossip_callbacks callbacks,
+                       gossip_options options)
+    : impl_(std::make_shared<impl>(context, std::move(self), std::move(contacts),
+                                   std::move(callbacks), options))
+{
+}
+
+gossip_udp::~gossip_udp()
+{
+    stop();
+}
+
+void gossip_udp::start()
+{
+    impl_->start();
+}
+
+void gossip_udp::stop()
+{
+    impl_->stop();
+}
+
+endpoint gossip_udp::local() const
+{
+    return impl_->local();
+}
+
+member_record gossip_udp::self() const
+{
+    return impl_->locked([](const gossip_core& core) { return core.self(); });
+}
+
+bool gossip_udp::superseded() const
+{
+    return impl_->locked([](const gossip_core& core) { return core.superseded(); });
+}
+
+std::vector<member_view> gossip_udp::snapshot() const
+{
+    return impl_->locked([](const gossip_core& core) { return core.members(); });
+}
+
+void gossip_udp::update_self(const std::function<void(member_record&)>& edit)
+{
+    impl_->update_self(edit);
+}
+
+void gossip_udp::add_contacts(const std::vector<endpoint>& contacts)
+{
+    impl_->add_contacts(contacts);
+}
+
+gossip_counters gossip_udp::counters() const
+{
+    return impl_->counters();
+}
+
+} // namespace fescueridge
--- /dev/null
+++ b/src/membership/wire.cpp
@@ -0,0 +1,292 @@
+#include "wire.hpp"
+
+#include <arpa/inet.h>
+
+#include <limits>
+
+#include <fmt/format.h>
+
+#include "fescueridge/base/error.hpp"
+
+namespace fescueridge::detail
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+// Layout: [kind, sender, nonce, target, via, numbers, wanted, updates]. Arrays without
+// field names keep an empty probe near 50 bytes.
+constexpr std::size_t datagram_fields = 8;
+constexpr std::size_t light_fields = 7;
+constexpr std::size_t full_fields = 18;
+
+// Bounds a single record well below the size of a datagram.
+constexpr std::size_t max_name_bytes = 128;
+
+// A warm-up above a day is a corrupted number.
+constexpr std::uint64_t max_warm_up_ms = 24ull * 3600 * 1000;
+
+std::uint32_t to_number(const std::string& address)
+{
+    in_addr number{};
+    if (!address.empty() && inet_pton(AF_INET, address.c_str(), &number) != 1)
+    {
+        throw codec_error(fmt::format("gossip address \"{}\" is not IPv4", address));
+    }
+    return ntohl(number.s_addr);
+}
+
+std::string to_address(std::uint64_t number)
+{
+    return fmt::format("{}.{}.{}.{}", number >> 24 & 255, number >> 16 & 255,
+                       number >> 8 & 255, number & 255);
+}
+
+std::uint64_t read_number(const json& value, std::uint64_t limit, const char* field)
+{
+    if (!value.is_number_unsigned() || value.get<std::uint64_t>() > limit)
+    {
+        throw codec_error(fmt::format("gossip field {} is not a number in range", field));
+    }
+    return value.get<std::uint64_t>();
+}
+
+std::string read_name(const json& value, const char* field)
+{
+    if (!value.is_string() || value.get_ref<const std::string&>().size() > max_name_bytes)
+    {
+        throw codec_error(fmt::format("gossip field {} is not a short text", field));
+    }
+    return value.get<std::string>();
+}
+
+const json& read_array(const json& value, const char* field)
+{
+    if (!value.is_array())
+    {
+        throw codec_error(fmt::format("gossip field {} is not an array", field));
+    }
+    return value;
+}
+
+endpoint read_endpoint(const json& address, const json& port)
+{
+    endpoint result;
+    result.address = to_address(
+        read_number(address, std::numeric_limits<std::uint32_t>::max(), "address"));
+    result.port = static_cast<std::uint16_t>(
+        read_number(port, std::numeric_limits<std::uint16_t>::max(), "port"));
+    return result;
+}
+
+constexpr std::uint64_t any = std::numeric_limits<std::uint64_t>::max();
+
+void read_full_fields(const json& fields, member_record& record)
+{
+    record.link = read_endpoint(fields[7], fields[8]);
+    record.operator_port = read_endpoint(fields[9], fields[10]);
+    record.gossip = read_endpoint(fields[11], fields[12]);
+    record.domain = domain_name(read_name(fields[13], "domain"));
+    record.region = read_name(fields[14], "region");
+    record.service = service_name(read_name(fields[15], "service"));
+    record.warm_up = milliseconds(read_number(fields[16], max_warm_up_ms, "warm_up"));
+    record.slots = slot_count(static_cast<std::uint32_t>(
+        read_number(fields[17], std::numeric_limits<std::uint32_t>::max(), "slots")));
+}
+
+update read_update(const json& value)
+{
+    const json& fields = read_array(value, "update");
+    if (fields.size() != light_fields && fields.size() != full_fields)
+    {
+        throw codec_error(fmt::format("gossip update has {} fields", fields.size()));
+    }
+    update result;
+    member_record& record = result.record;
+    record.node = node_id(read_name(fields[0], "node"));
+    if (record.node.get().empty())
+    {
+        throw codec_error("gossip update has an empty node id");
+    }
+    record.number = incarnation(read_number(fields[1], any, "incarnation"));
+    record.sequence = read_number(fields[2], any - 1, "sequence");
+    result.status = static_cast<liveness>(read_number(fields[3], 2, "status"));
+    record.state = static_cast<server_state>(read_number(fields[4], 3, "state"));
+    record.sheet = sheet_version(read_number(fields[5], any, "sheet"));
+    result.content = read_number(fields[6], record.sequence, "content");
+    result.full = fields.size() == full_fields;
+    if (result.full)
+    {
+        read_full_fields(fields, record);
+    }
+    return result;
+}
+
+json to_header(const datagram& value)
+{
+    json via = nullptr;
+    if (value.via)
+    {
+        via = json::array({to_number(value.via->address), value.via->port});
+    }
+    json wanted = json::array();
+    for (const node_id& node : value.wanted)
+    {
+        wanted.push_back(node.get());
+    }
+    return json::array({static_cast<std::uint8_t>(value.kind), to_array(value.sender),
+                        value.nonce, value.target.get(), std::move(via), value.numbers,
+                        std::move(wanted), json::array()});
+}
+
+json parse(std::string_view bytes)
+{
+    if (bytes.size() > max_gossip_datagram)
+    {
+        throw codec_error(
+            fmt::format("gossip datagram of {} bytes is too large", bytes.size()));
+    }
+    try
+    {
+        return json::from_cbor(bytes.begin(), bytes.end());
+    }
+    catch (const json::exception& problem)
+    {
+        throw codec_error(fmt::format("gossip datagram is not CBOR: {}", problem.what()));
+    }
+}
+
+std::optional<endpoint> read_via(const json& value)
+{
+    if (value.is_null())
+    {
+        return std::nullopt;
+    }
+    if (!value.is_array() || value.size() != 2)
+    {
+        throw codec_error("gossip field via is not an address and a port");
+    }
+    return read_endpoint(value[0], value[1]);
+}
+
+// A digest has one hash per bucket; a digest_reply has bucket numbers.
+void check_numbers(const datagram& value)
+{
+    if (value.kind == datagram_kind::digest && value.numbers.size() != bucket_count)
+    {
+        throw codec_error("gossip digest with a wrong number of hashes");
+    }
+    for (const std::uint32_t number : value.numbers)
+    {
+        if (value.kind == datagram_kind::digest_reply && number >= bucket_count)
+        {
+            throw codec_error("gossip digest reply with an unknown bucket");
+        }
+    }
+}
+
+} // namespace
+
+json to_array(const update& value)
+{
+    const member_record& r = value.record;
+    json result =
+        json::array({r.node.get(), r.number.get(), r.sequence,
+                     static_cast<std::uint8_t>(value.status),
+                     static_cast<std::uint8_t>(r.state), r.sheet.get(), value.content});
+    if (value.full)
+    {
+        for (const endpoint* address : {&r.link, &r.operator_port, &r.gossip})
+        {
+            result.push_back(to_number(address->address));
+            result.push_back(address->port);
+        }
+        result.push_back(r.domain.get());
+        result.push_back(r.region);
+        result.push_back(r.service.get());
+        result.push_back(static_cast<std::uint64_t>(r.warm_up.count()));
+        result.push_back(r.slots.get());
+    }
+    return result;
+}
+
+std::string encode(const datagram& value, const std::vector<json>& updates,
+                   std::size_t& first)
+{
+    json frame = to_header(value);
+    // The length of an array of up to 255 elements takes one byte more than that of an
+    // empty one.
+    std::size_t size = json::to_cbor(frame).size() + 1;
+    while (first < updates.size() && frame.back().size() < 255)
+    {
+        size += json::to_cbor(updates[first]).size();
+        if (size > max_gossip_datagram)
+        {
+            break;
+        }
+        frame.back().push_back(updates[first]);
+        ++first;
+    }
+    const std::vector<std::uint8_t> bytes = json::to_cbor(frame);
+    return {bytes.begin(), bytes.end()};
+}
+
+std::string encode(const datagram& value)
+{
+    std::vector<json> updates;
+    updates.reserve(value.updates.size());
+    for (const update& entry : value.updates)
+    {
+        updates.push_back(to_array(entry));
+    }
+    std::size_t first = 0;
+    std::string bytes = encode(value, updates, first);
+    if (first < updates.size() || bytes.size() > max_gossip_datagram)
+    {
+        throw codec_error("gossip datagram is too large to send");
+    }
+    return bytes;
+}
+
+datagram decode(std::string_view bytes)
+{
+    const json frame = parse(bytes);
+    if (read_array(frame, "datagram").size() != datagram_fields)
+    {
+        throw codec_error(fmt::format("gossip datagram has {} fields", frame.size()));
+    }
+    datagram result;
+    const auto kind = read_number(frame[0], 9, "kind");
+    if (kind == 0)
+    {
+        throw codec_error("gossip datagram of unknown kind");
+    }
+    result.kind = static_cast<datagram_kind>(kind);
+    result.sender = read_update(frame[1]);
+    if (result.sender.full || result.sender.status != liveness::alive)
+    {
+        throw codec_error("gossip datagram with a bad sender");
+    }
+    result.nonce = read_number(frame[2], any, "nonce");
+    result.target = node_id(read_name(frame[3], "target"));
+    result.via = read_via(frame[4]);
+    for (const json& number : read_array(frame[5], "numbers"))
+    {
+        result.numbers.push_back(
+            static_cast<std::uint32_t>(read_number(number, 0xffffffffu, "numbers")));
+    }
+    for (const json& name : read_array(frame[6], "wanted"))
+    {
+        result.wanted.emplace_back(read_name(name, "wanted"));
+    }
+    for (const json& entry : read_array(frame[7], "updates"))
+    {
+        result.updates.push_back(read_update(entry));
+    }
+    check_numbers(result);
+    return result;
+}
+
+} // namespace fescueridge::detail
