Add the node: call path, control loops and operator port

Cause: the libraries exist side by side, and nothing serves a call yet. Change: library node with the call router (attempts, retries, hedges), the executor beside the backend server (admission, claims, quarantine, pool), the caller and server-side ports, limits, sheet and quarantine exchange, operator port, and the daemon. quarantine_record and server_state had two definitions each and move to codec and base; the tool's views are renamed where they met names of routing and membership. claim_client::release frees a key whose call was certainly not sent.

--- a/src/codec/messages.cpp
+++ b/src/codec/messages.cpp
@@ -125,7 +125,7 @@
 
     json operator()(const strike_message& m) const
     {
-        return make(frame_type::strike, m.request.get(), m.strikes, m.server.get());
+        return make(frame_type::strike, to_binary(encode_quarantine_record(m.record)));
     }
 
 private:
@@ -381,14 +381,7 @@
         m.lease = milliseconds(in.number<std::int64_t>());
         return m;
     }
-    case frame_type::strike:
-    {
-        strike_message m;
-        m.request = fingerprint(in.unsigned64());
-        m.strikes = in.number<std::uint32_t>(0, max_32);
-        m.server = incarnation(in.unsigned64());
-        return m;
-    }
+    case frame_type::strike: return strike_message{decode_quarantine_record(in.text())};
     default:
         throw codec_error(fmt::format("unknown message type {}", static_cast<int>(type)));
     }
--- /dev/null
+++ b/src/fescueridged/main.cpp
@@ -0,0 +1,88 @@
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "fescueridge/base/error.hpp"
+#include "fescueridge/node/node.hpp"
+
+namespace
+{
+
+constexpr int exit_ok = 0;
+constexpr int exit_bad_settings = 2;
+
+void report(const std::string& event, const std::string& text)
+{
+    const nlohmann::ordered_json line{{"event", event}, {"text", text}};
+    fmt::print(stderr, "{}\n",
+               line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+/// Blocks the stop signals in every thread, so that one thread can wait for them.
+sigset_t block_stop_signals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signals;
+}
+
+int serve(const std::string& settings_file)
+{
+    const sigset_t signals = block_stop_signals();
+    std::signal(SIGPIPE, SIG_IGN);
+    fescueridge::node node(fescueridge::load_settings(settings_file));
+    std::thread waiter([&] {
+        int received = 0;
+        sigwait(&signals, &received);
+        node.request_stop();
+    });
+    node.run();
+    waiter.join();
+    return exit_ok;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    CLI::App app("fescueridge node: overload control beside one backend server");
+    std::string settings_file;
+    bool check_only = false;
+    app.add_option("settings", settings_file, "Settings file (JSON with comments)")
+        ->required();
+    app.add_flag("--check", check_only, "Check the settings and exit");
+    app.footer("Example: fescueridged /etc/fescueridge/node.json\n"
+               "SIGTERM ends the node after the calls in flight. Exit codes: 0 stopped, "
+               "2 bad settings or a port in use.");
+    try
+    {
+        app.parse(argc, argv);
+    }
+    catch (const CLI::ParseError& problem)
+    {
+        return app.exit(problem) == 0 ? exit_ok : exit_bad_settings;
+    }
+    try
+    {
+        if (check_only)
+        {
+            fescueridge::load_settings(settings_file);
+            return exit_ok;
+        }
+        return serve(settings_file);
+    }
+    catch (const fescueridge::settings_error& problem)
+    {
+        report("settings_error", problem.what());
+    }
+    catch (const fescueridge::address_error& problem)
+    {
+        report("address_error", problem.what());
+    }
+    return exit_bad_settings;
+}
--- a/src/include/fescueridge/base/settings.hpp
+++ b/src/include/fescueridge/base/settings.hpp
@@ -24,6 +24,9 @@
     endpoint listen_gossip;   ///< UDP.
     std::vector<endpoint> contacts; ///< Gossip addresses of a few other nodes.
     std::optional<endpoint> log_service;
+    /// Time for which the log service keeps records; state is carried forward after half
+    /// of it.
+    milliseconds log_retention{std::chrono::hours{24}};
     unsigned threads = 2;
     milliseconds drain_timeout{30'000};
 };
--- a/src/include/fescueridge/codec/messages.hpp
+++ b/src/include/fescueridge/codec/messages.hpp
@@ -9,6 +9,7 @@
 #include "fescueridge/base/clock.hpp"
 #include "fescueridge/base/outcome.hpp"
 #include "fescueridge/base/types.hpp"
+#include "fescueridge/codec/quarantine_record.hpp"
 
 namespace fescueridge
 {
@@ -119,12 +120,10 @@
     milliseconds lease{0};
 };
 
-/// A request was running when a backend server died.
+/// What the sender knows of a request that was running when a backend server died.
 struct strike_message
 {
-    fingerprint request;
-    std::uint32_t strikes = 0;
-    incarnation server;
+    quarantine_record record;
 };
 
 /// Any message on a link between two nodes.
--- a/src/include/fescueridge/membership/member_record.hpp
+++ b/src/include/fescueridge/membership/member_record.hpp
@@ -6,23 +6,12 @@
 
 #include "fescueridge/base/clock.hpp"
 #include "fescueridge/base/endpoint.hpp"
+#include "fescueridge/base/server_state.hpp"
 #include "fescueridge/base/types.hpp"
 
 namespace fescueridge
 {
 
-/// State of a backend server, as its node announces it.
-enum class server_state : std::uint8_t
-{
-    cold,     ///< Started a short while ago; its weight grows over the warm-up.
-    ready,    ///< Takes calls.
-    draining, ///< Finishes its calls and takes no new ones.
-    gone      ///< No backend server is announced at this node.
-};
-
-/// Returns the protocol name, for example "draining".
-std::string_view to_string(server_state value) noexcept;
-
 /// What the members know of the life of a node.
 enum class liveness : std::uint8_t
 {
--- /dev/null
+++ b/src/include/fescueridge/node/refusals.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <optional>
+
+#include "fescueridge/base/outcome.hpp"
+#include "fescueridge/base/types.hpp"
+#include "fescueridge/codec/messages.hpp"
+#include "fescueridge/node/sheet_holder.hpp"
+
+namespace fescueridge {
+
+/// Who called what; the part of a call that an explanation needs.
+struct refused_call
+{
+    call_id id;
+    caller_name caller;
+    service_name service;
+    priority rank;
+    std::string path;
+};
+
+/// Makes replies for calls that were refused or failed, with a token that explains them.
+/// Thread safe.
+class refusal_maker
+{
+public:
+    refusal_maker(node_id node, domain_name domain, const sheet_holder& sheets);
+
+    /// Returns the reply. `level` is the admission level that the call failed to reach.
+    reply_message make(const refused_call& call, refusal_reason reason, outcome result,
+                       const std::optional<admission_level>& level = std::nullopt) const;
+
+private:
+    node_id node_;
+    domain_name domain_;
+    const sheet_holder& sheets_;
+};
+
+} // namespace fescueridge
--- a/src/include/fescueridge/overload/quarantine.hpp
+++ b/src/include/fescueridge/overload/quarantine.hpp
@@ -9,6 +9,7 @@
 
 #include "fescueridge/base/clock.hpp"
 #include "fescueridge/base/types.hpp"
+#include "fescueridge/codec/quarantine_record.hpp"
 
 namespace fescueridge
 {
@@ -30,17 +31,6 @@
 
 using suspicion = std::variant<run_normally, run_alone, refuse_quarantined>;
 
-/// What is known of a request that was running when a server died. Records of several
-/// nodes merge in any order and any number of times to the same result: crashes and
-/// cleared crashes only grow, the time only rises.
-struct quarantine_record
-{
-    fingerprint request;
-    std::map<incarnation, bool> crashes;   ///< Server incarnations; true: it ran alone.
-    std::set<incarnation> cleared;         ///< Crashes before a completed run.
-    std::int64_t last_attempt_wall_ms = 0; ///< Decides only when the record expires.
-};
-
 /// Suspected requests of a service. Thread safe.
 class suspicion_table
 {
--- a/src/include/fescueridge/routing/balancer.hpp
+++ b/src/include/fescueridge/routing/balancer.hpp
@@ -9,20 +9,12 @@
 #include "fescueridge/base/clock.hpp"
 #include "fescueridge/base/outcome.hpp"
 #include "fescueridge/base/random.hpp"
+#include "fescueridge/base/server_state.hpp"
 #include "fescueridge/base/types.hpp"
 
 namespace fescueridge
 {
 
-/// State of a backend server as its node announces it.
-enum class server_state : std::uint8_t
-{
-    cold,
-    ready,
-    draining,
-    gone
-};
-
 /// A backend server of the service, as membership and links know it.
 struct server_member
 {
@@ -39,7 +31,7 @@
 using started_call = strong_type<std::uint64_t, struct started_call_tag>;
 
 /// What the balancer knows of a server; for the operator port and tests.
-struct server_view
+struct balancer_view
 {
     node_id node;
     std::uint32_t in_flight = 0;
@@ -91,7 +83,7 @@
     std::uint32_t pool_size_target(const node_id& node, time_point now) const;
 
     /// Returns what is known of each server.
-    std::vector<server_view> view(time_point now) const;
+    std::vector<balancer_view> view(time_point now) const;
 
 private:
     struct impl;
--- a/src/include/fescueridge/sheet/operator_api.hpp
+++ b/src/include/fescueridge/sheet/operator_api.hpp
@@ -74,7 +74,7 @@
 };
 
 /// The backend server of a node.
-struct server_view
+struct server_status
 {
     std::string service;
     std::string state; ///< "none", "cold", "ready", "draining" or "gone".
@@ -101,19 +101,19 @@
     std::uint64_t version = 0;
     bool ready = false;
     std::vector<domain_view> domains;
-    server_view server;
+    server_status server;
     log_view log;
 };
 
 /// One member of the fleet.
-struct member_view
+struct member_status
 {
     std::string node;
     std::uint64_t incarnation = 0;
     std::string domain;
     std::string region;
     std::string service;
-    std::string state;    ///< State of the server, as in server_view.
+    std::string state;    ///< State of the server, as in server_status.
     std::string liveness; ///< "alive", "suspect" or "dead".
     std::uint32_t slots = 0;
     std::uint64_t version = 0;
@@ -122,7 +122,7 @@
 /// Answer to GET /v1/members.
 struct members_view
 {
-    std::vector<member_view> members;
+    std::vector<member_status> members;
 };
 
 /// Admission level of a service as a node knows it.
@@ -173,8 +173,8 @@
     (std::is_same_v<T, sheet_fault> || std::is_same_v<T, check_result> ||
      std::is_same_v<T, submit_request> || std::is_same_v<T, submit_result> ||
      std::is_same_v<T, sheet_view> || std::is_same_v<T, domain_view> ||
-     std::is_same_v<T, server_view> || std::is_same_v<T, log_view> ||
-     std::is_same_v<T, status_view> || std::is_same_v<T, member_view> ||
+     std::is_same_v<T, server_status> || std::is_same_v<T, log_view> ||
+     std::is_same_v<T, status_view> || std::is_same_v<T, member_status> ||
      std::is_same_v<T, members_view> || std::is_same_v<T, service_pressure> ||
      std::is_same_v<T, pressure_view> || std::is_same_v<T, drain_result> ||
      std::is_same_v<T, explain_view>);
--- a/src/include/fescueridge/state/claim_client.hpp
+++ b/src/include/fescueridge/state/claim_client.hpp
@@ -84,6 +84,10 @@
     /// if confirm_dispatch() came first or the call is not known.
     bool abandon(const call_id& call);
 
+    /// Gives a call up whatever its state: the owner knows that nothing of it was sent to
+    /// a backend server and that nothing will be. The key becomes free again.
+    void release(const call_id& call);
+
     /// Sets the time for which keys of later claims are remembered.
     void set_remember(milliseconds remember);
 
--- a/src/membership/member_record.cpp
+++ b/src/membership/member_record.cpp
@@ -5,12 +5,6 @@
 namespace fescueridge
 {
 
-std::string_view to_string(server_state value) noexcept
-{
-    constexpr std::array<std::string_view, 4> names{"cold", "ready", "draining", "gone"};
-    return names[static_cast<std::size_t>(value)];
-}
-
 std::string_view to_string(liveness value) noexcept
 {
     constexpr std::array<std::string_view, 3> names{"alive", "suspect", "dead"};
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,401 @@
+#include "fescueridge/node/node.hpp"
+
+#include <algorithm>
+#include <thread>
+
+#include "fescueridge/overload/rendezvous.hpp"
+#include "node_impl.hpp"
+#include "periodic_timer.hpp"
+
+namespace fescueridge
+{
+
+namespace
+{
+
+constexpr milliseconds queue_poll_interval{5};
+constexpr milliseconds sheet_interval{200};
+constexpr milliseconds redial_interval{500};
+constexpr milliseconds second{1000};
+constexpr milliseconds contacts_interval{std::chrono::minutes{5}};
+constexpr milliseconds first_contacts_delay{3000};
+constexpr std::size_t contact_writers_per_domain = 3;
+constexpr std::size_t contacts_per_record = 8;
+constexpr milliseconds log_timeout{1000};
+constexpr milliseconds drain_poll_interval{20};
+
+// After the last call has ended, answers are still being written to sockets.
+constexpr milliseconds drain_linger{100};
+
+incarnation new_incarnation()
+{
+    random_engine random(random_seed());
+    return make_incarnation(wall_clock_ms(), random);
+}
+
+std::unique_ptr<log_service> make_log(const node_settings& settings)
+{
+    if (!settings.log_service)
+    {
+        return nullptr;
+    }
+    return std::make_unique<http_log_service>(*settings.log_service);
+}
+
+} // namespace
+
+node::impl::impl(const node_settings& settings)
+    : settings_(settings), number_(new_incarnation()), events_(settings.node, number_),
+      work_(asio::make_work_guard(io_)), log_(make_log(settings)),
+      refusals_(settings.node, settings.domain, sheets_), ids_(settings.node, number_),
+      peers_(settings.node, settings.domain), executor_(make_executor_ports()),
+      monitor_(executor_, events_,
+               [this](const auto& edit) { update_own_record(edit); }),
+      router_(make_router_ports()),
+      limits_(settings.node, settings.domain, peers_, sheets_,
+              [this](const node_id& to, link_message message) {
+                  send(to, std::move(message));
+              }),
+      ports_(make_call_port_parts())
+{
+    const auto sender = [this](const node_id& to, link_message message) {
+        send(to, std::move(message));
+    };
+    const auto hello = [this] {
+        return hello_message{settings_.node, number_, settings_.domain, sheets_.version()};
+    };
+    hub_ = std::make_unique<link_hub>(io_, settings_.listen_link, hello, events_,
+                                      make_link_callbacks());
+    peers_.use(*hub_);
+    gossip_ = std::make_unique<gossip_udp>(
+        io_, make_own_record(), settings_.contacts,
+        gossip_callbacks{[this](const auto& changes) { on_member_changes(changes); },
+                         [this](const endpoint& from, const std::string& reason) {
+                             events_.record("gossip_malformed", {{"from", to_string(from)},
+                                                                 {"reason", reason}});
+                         }});
+    refresh_peers();
+    quarantine_ = std::make_unique<quarantine_sync>(log_.get(), suspicions_, peers_, worker_,
+                                                    events_, sender);
+    sheet_sync_ = std::make_unique<sheet_sync>(
+        settings_.node, settings_.domain, log_.get(), settings_.log_retention, peers_,
+        sheets_, events_, sender, [this](sheet_version version) {
+            limits_.clear();
+            update_own_record([&](member_record& record) { record.sheet = version; });
+            update_claims();
+        });
+    http_server_options options;
+    options.on_fault = [this](const http_fault& fault) {
+        events_.record("http_fault", {{"kind", std::string(to_string(fault.kind))},
+                                      {"peer", to_string(fault.peer)},
+                                      {"detail", fault.detail}});
+    };
+    caller_server_ = std::make_unique<http_server>(
+        io_, settings_.listen_caller,
+        [this](http_request request, std::shared_ptr<http_exchange> exchange) {
+            ports_.on_caller_request(std::move(request), std::move(exchange));
+        },
+        options);
+    server_server_ = std::make_unique<http_server>(
+        io_, settings_.listen_server,
+        [this](http_request request, std::shared_ptr<http_exchange> exchange) {
+            ports_.on_server_request(std::move(request), std::move(exchange));
+        },
+        options);
+    operator_ =
+        std::make_unique<operator_port>(settings_.listen_operator, make_operator_functions());
+}
+
+node::impl::~impl()
+{
+    io_.stop();
+}
+
+executor_ports node::impl::make_executor_ports()
+{
+    return executor_ports{io_,
+                          sheets_,
+                          refusals_,
+                          calls_,
+                          suspicions_,
+                          events_,
+                          [this](const std::vector<quarantine_record>& records) {
+                              if (const auto server = monitor_.server())
+                              {
+                                  quarantine_->publish(server->service, records);
+                              }
+                          },
+                          [this] { monitor_.on_death(); }};
+}
+
+router_ports node::impl::make_router_ports()
+{
+    return router_ports{io_,     settings_.node, peers_,    executor_, pressure_,
+                        budget_, ids_,           refusals_, events_};
+}
+
+call_port_parts node::impl::make_call_port_parts()
+{
+    return call_port_parts{sheets_, refusals_, router_, calls_,  pressure_,
+                           ledger_, limits_,   ids_,    events_, [this] {
+                               return reason_to_refuse();
+                           }};
+}
+
+member_record node::impl::make_own_record() const
+{
+    member_record record;
+    record.node = settings_.node;
+    record.number = number_;
+    record.link = settings_.listen_link;
+    record.operator_port = settings_.listen_operator;
+    record.gossip = settings_.listen_gossip;
+    record.domain = settings_.domain;
+    record.region = settings_.region;
+    return record;
+}
+
+std::optional<refusal_reason> node::impl::reason_to_refuse() const
+{
+    if (stopping_ || gossip_->superseded())
+    {
+        return refusal_reason::shutting_down;
+    }
+    if (!sheet_sync_->ready())
+    {
+        return refusal_reason::no_sheet;
+    }
+    return std::nullopt;
+}
+
+void node::impl::start_timers()
+{
+    using detail::periodic_timer;
+    periodic_timer::start(io_, queue_poll_interval, [this] { executor_.poll(); });
+    periodic_timer::start(io_, level_interval, [this] { executor_.update_level(); });
+    periodic_timer::start(io_, sheet_interval, [this] { sheet_sync_->tick(); });
+    periodic_timer::start(io_, redial_interval, [this] { peers_.redial(); });
+    periodic_timer::start(io_, demand_report_interval, [this] { limits_.report_demand(); });
+    periodic_timer::start(io_, domain_exchange_interval,
+                          [this] { limits_.exchange_domains(); });
+    periodic_timer::start(io_, second, [this] { every_second(); });
+    periodic_timer::start(io_, contacts_interval, [this] { write_contacts_if_chosen(); });
+    auto first = std::make_shared<asio::steady_timer>(io_, first_contacts_delay);
+    first->async_wait([this, first](const asio::error_code& problem) {
+        if (!problem)
+        {
+            write_contacts_if_chosen();
+        }
+    });
+}
+
+void node::impl::every_second()
+{
+    const time_point now = clock::now();
+    ledger_.expire(now);
+    pressure_.expire(now);
+    suspicions_.expire(wall_clock_ms());
+    monitor_.check_heartbeat();
+    update_claims();
+}
+
+void node::impl::update_claims()
+{
+    const auto server = monitor_.server();
+    const auto snapshot = sheets_.get();
+    if (!log_ || !server || !snapshot)
+    {
+        return;
+    }
+    const auto& rules = snapshot->rules->rules();
+    const bool needed = std::any_of(rules.begin(), rules.end(), [&](const rule& entry) {
+        return entry.at_most_once && entry.service == server->service;
+    });
+    const auto remember =
+        milliseconds(std::chrono::hours(24) * snapshot->rules->settings().remember_days);
+    const std::lock_guard lock(claims_mutex_);
+    if (claims_)
+    {
+        claims_->set_remember(remember);
+        return;
+    }
+    if (!needed)
+    {
+        return;
+    }
+    claim_client_options options;
+    options.service = server->service;
+    options.node = number_;
+    options.remember = remember;
+    options.retention = settings_.log_retention;
+    claims_ = std::make_shared<claim_client>(
+        *log_, options, [this](const std::string& name, const std::string& reason) {
+            events_.record(name, {{"reason", reason}});
+        });
+    executor_.use_claims(claims_);
+}
+
+void node::impl::write_contacts_if_chosen()
+{
+    if (!log_)
+    {
+        return;
+    }
+    const auto writers =
+        choose_by_rendezvous("contact-writers", peers_.live_nodes(settings_.domain),
+                             contact_writers_per_domain);
+    if (std::find(writers.begin(), writers.end(), settings_.node) == writers.end())
+    {
+        return;
+    }
+    std::vector<contact> contacts;
+    for (const fescueridge::member_view& member : peers_.members())
+    {
+        if (member.record.domain == settings_.domain && member.status == liveness::alive &&
+            contacts.size() < contacts_per_record)
+        {
+            contacts.push_back({member.record.domain, member.record.gossip});
+        }
+    }
+    worker_.post([this, contacts] {
+        try
+        {
+            write_contacts(*log_, contacts, log_timeout);
+        }
+        catch (const error& problem)
+        {
+            events_.record("contacts_not_written", {{"reason", std::string(problem.what())}});
+        }
+    });
+}
+
+void node::impl::learn_contacts()
+{
+    if (!log_)
+    {
+        return;
+    }
+    worker_.post([this] {
+        try
+        {
+            std::vector<endpoint> addresses;
+            for (const contact& known : read_latest_contacts(*log_, log_timeout))
+            {
+                addresses.push_back(known.gossip);
+            }
+            gossip_->add_contacts(addresses);
+        }
+        catch (const error& problem)
+        {
+            events_.record("contacts_not_read", {{"reason", std::string(problem.what())}});
+        }
+    });
+}
+
+void node::impl::update_own_record(const std::function<void(member_record&)>& edit)
+{
+    gossip_->update_self(edit);
+    refresh_peers();
+}
+
+void node::impl::refresh_peers()
+{
+    peers_.update(gossip_->self(), gossip_->snapshot());
+}
+
+void node::impl::on_member_changes(const std::vector<member_change>& changes)
+{
+    refresh_peers();
+    for (const member_change& change : changes)
+    {
+        events_.record("member_" + std::string(to_string(change.kind)),
+                       {{"member", change.member.record.node.get()},
+                        {"domain", change.member.record.domain.get()}});
+    }
+}
+
+std::size_t node::impl::in_flight() const
+{
+    return executor_.in_flight() + router_.pending() + caller_server_->open_exchanges() +
+           server_server_->open_exchanges();
+}
+
+void node::impl::drain_calls()
+{
+    monitor_.drain();
+    executor_.drain();
+    const time_point give_up = clock::now() + settings_.drain_timeout;
+    while (in_flight() > 0 && clock::now() < give_up)
+    {
+        std::this_thread::sleep_for(drain_poll_interval);
+    }
+    events_.record("drained", {{"left", static_cast<std::int64_t>(in_flight())}});
+    std::this_thread::sleep_for(drain_linger);
+}
+
+void node::impl::close_ports()
+{
+    operator_->stop();
+    caller_server_->close();
+    server_server_->close();
+    hub_->close();
+    gossip_->stop();
+    {
+        const std::lock_guard lock(claims_mutex_);
+        if (claims_)
+        {
+            claims_->stop();
+        }
+    }
+    quarantine_->stop();
+    sheet_sync_->stop();
+    worker_.stop();
+}
+
+void node::impl::run()
+{
+    gossip_->start();
+    learn_contacts();
+    start_timers();
+    std::vector<std::thread> threads;
+    for (unsigned i = 0; i < settings_.threads; ++i)
+    {
+        threads.emplace_back([this] { io_.run(); });
+    }
+    events_.record("node_started", {{"domain", settings_.domain.get()}});
+    while (!stopping_)
+    {
+        std::this_thread::sleep_for(drain_poll_interval);
+    }
+    events_.record("node_stopping");
+    caller_server_->stop_accepting();
+    drain_calls();
+    close_ports();
+    io_.stop();
+    for (std::thread& thread : threads)
+    {
+        thread.join();
+    }
+    events_.record("node_stopped");
+}
+
+void node::impl::request_stop()
+{
+    stopping_ = true;
+}
+
+node::node(const node_settings& settings) : impl_(std::make_unique<impl>(settings)) {}
+
+node::~node() = default;
+
+void node::run()
+{
+    impl_->run();
+}
+
+void node::request_stop()
+{
+    impl_->request_stop();
+}
+
+} // namespace fescueridge
--- /dev/null
+++ b/src/node/node_impl.hpp
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <atomic>
+#include <optional>
+
+#include "fescueridge/membership/gossip_udp.hpp"
+#include "fescueridge/node/background_worker.hpp"
+#include "fescueridge/node/call_ports.hpp"
+#include "fescueridge/node/inbound_calls.hpp"
+#include "fescueridge/node/limit_control.hpp"
+#include "fescueridge/node/node.hpp"
+#include "fescueridge/node/operator_port.hpp"
+#include "fescueridge/node/quarantine_sync.hpp"
+#include "fescueridge/node/server_executor.hpp"
+#include "fescueridge/node/server_monitor.hpp"
+#include "fescueridge/node/sheet_sync.hpp"
+#include "fescueridge/platform/http_log_service.hpp"
+#include "fescueridge/state/claim_client.hpp"
+#include "fescueridge/state/contacts_log.hpp"
+#include "fescueridge/transport/http_server.hpp"
+#include "fescueridge/transport/link_hub.hpp"
+
+namespace fescueridge
+{
+
+/// The parts of a node and the wiring between them.
+class node::impl
+{
+public:
+    explicit impl(const node_settings& settings);
+    ~impl();
+
+    void run();
+    void request_stop();
+
+private:
+    // Construction.
+    executor_ports make_executor_ports();
+    router_ports make_router_ports();
+    call_port_parts make_call_port_parts();
+    link_callbacks make_link_callbacks();
+    operator_functions make_operator_functions();
+    member_record make_own_record() const;
+    void start_timers();
+
+    // Links and members.
+    void send(const node_id& to, link_message message);
+    void on_message(const link_ptr& from, link_message message);
+    void take(const link_ptr& from, call_message call);
+    void take(const link_ptr& from, reply_message reply);
+    void take(const link_ptr& from, const cancel_message& cancel);
+    void take(const link_ptr& from, const sheet_pull_message& pull);
+    void take(const link_ptr& from, const sheet_push_message& push);
+    void take(const link_ptr& from, const demand_report_message& report);
+    void take(const link_ptr& from, const share_grant_message& grant);
+    void take(const link_ptr& from, const strike_message& strike);
+    template <class Handled>
+    void take(const link_ptr& /*from*/, const Handled& /*message*/)
+    {
+        // hello, ping and pong are handled by the link hub.
+    }
+    void on_link_closed(const link_ptr& closed);
+    void on_member_changes(const std::vector<member_change>& changes);
+    void refresh_peers();
+    void update_own_record(const std::function<void(member_record&)>& edit);
+
+    // Control loops.
+    void every_second();
+    void update_claims();
+    void write_contacts_if_chosen();
+    void learn_contacts();
+
+    // Operator port.
+    status_view status() const;
+    std::vector<domain_view> domain_views() const;
+    members_view members() const;
+    pressure_view pressure() const;
+    submit_result submit(const submit_request& request);
+    drain_result drain();
+    std::string metrics() const;
+
+    std::optional<refusal_reason> reason_to_refuse() const;
+    std::size_t in_flight() const;
+    void drain_calls();
+    void close_ports();
+
+    const node_settings settings_;
+    const incarnation number_;
+    event_log events_;
+    asio::io_context io_;
+    asio::executor_work_guard<asio::io_context::executor_type> work_;
+    std::atomic<bool> stopping_{false};
+    std::unique_ptr<log_service> log_;
+    sheet_holder sheets_;
+    refusal_maker refusals_;
+    id_source ids_;
+    call_table calls_;
+    pressure_table pressure_;
+    root_ledger ledger_;
+    retry_budget budget_;
+    suspicion_table suspicions_;
+    peer_table peers_;
+    inbound_calls inbound_;
+    background_worker worker_;
+    server_executor executor_;
+    server_monitor monitor_;
+    call_router router_;
+    limit_control limits_;
+    call_ports ports_;
+    std::mutex claims_mutex_;
+    std::shared_ptr<claim_client> claims_;
+    std::unique_ptr<quarantine_sync> quarantine_;
+    std::unique_ptr<sheet_sync> sheet_sync_;
+    std::unique_ptr<link_hub> hub_;
+    std::unique_ptr<gossip_udp> gossip_;
+    std::unique_ptr<http_server> caller_server_;
+    std::unique_ptr<http_server> server_server_;
+    std::unique_ptr<operator_port> operator_;
+};
+
+} // namespace fescueridge
--- /dev/null
+++ b/src/node/node_operator.cpp
@@ -0,0 +1,184 @@
+// Answers of the operator port.
+
+#include <map>
+#include <nlohmann/json.hpp>
+
+#include "node_impl.hpp"
+
+namespace fescueridge
+{
+
+operator_functions node::impl::make_operator_functions()
+{
+    operator_functions functions;
+    functions.status = [this] { return status(); };
+    functions.members = [this] { return members(); };
+    functions.pressure = [this] { return pressure(); };
+    functions.sheet = [this] {
+        sheet_view view;
+        if (const auto snapshot = sheets_.get())
+        {
+            view.version = snapshot->version.get();
+            view.content = snapshot->rules->content();
+        }
+        return view;
+    };
+    functions.submit = [this](const submit_request& request) { return submit(request); };
+    functions.drain = [this] { return drain(); };
+    functions.announce = [this](const server_announcement& server) {
+        monitor_.announce(server);
+        update_claims();
+    };
+    functions.metrics = [this] { return metrics(); };
+    functions.events = &events_;
+    return functions;
+}
+
+std::vector<domain_view> node::impl::domain_views() const
+{
+    std::map<std::string, domain_view> views;
+    for (const fescueridge::member_view& member : peers_.members())
+    {
+        domain_view& view = views[member.record.domain.get()];
+        view.name = member.record.domain.get();
+        if (member.status == liveness::dead)
+        {
+            continue;
+        }
+        const std::uint64_t version = member.record.sheet.get();
+        view.lowest_version =
+            view.nodes == 0 ? version : std::min(view.lowest_version, version);
+        view.reachable = true;
+        ++view.nodes;
+    }
+    std::vector<domain_view> result;
+    for (auto& [name, view] : views)
+    {
+        result.push_back(std::move(view));
+    }
+    return result;
+}
+
+status_view node::impl::status() const
+{
+    status_view view;
+    view.node = settings_.node.get();
+    view.incarnation = number_.get();
+    view.domain = settings_.domain.get();
+    view.region = settings_.region;
+    view.version = sheets_.version().get();
+    view.ready = sheet_sync_->ready() && !stopping_;
+    view.domains = domain_views();
+    view.server.state = "none";
+    if (const auto server = monitor_.server())
+    {
+        const executor_load load = executor_.load();
+        view.server.service = server->service.get();
+        view.server.state = std::string(to_string(server->state));
+        view.server.slots = server->slots.get();
+        view.server.limit = load.limit;
+        view.server.running = load.running;
+        view.server.queued = load.queued;
+    }
+    const config_follower* follower = sheet_sync_->follower();
+    view.log.reachable = follower != nullptr && follower->caught_up();
+    if (const auto snapshot = sheets_.get())
+    {
+        view.log.offset = snapshot->offset.get();
+    }
+    return view;
+}
+
+members_view node::impl::members() const
+{
+    members_view view;
+    for (const fescueridge::member_view& member : peers_.members())
+    {
+        member_status entry;
+        entry.node = member.record.node.get();
+        entry.incarnation = member.record.number.get();
+        entry.domain = member.record.domain.get();
+        entry.region = member.record.region;
+        entry.service = member.record.service.get();
+        entry.state = std::string(to_string(member.record.state));
+        entry.liveness = std::string(to_string(member.status));
+        entry.slots = member.record.slots.get();
+        entry.version = member.record.sheet.get();
+        view.members.push_back(std::move(entry));
+    }
+    return view;
+}
+
+pressure_view node::impl::pressure() const
+{
+    pressure_view view;
+    const auto add = [&](const admission_level& level) {
+        service_pressure entry;
+        entry.service = level.service.get();
+        entry.cut_priority = level.cut_priority;
+        entry.cut_fraction = level.cut_fraction;
+        view.services.push_back(std::move(entry));
+    };
+    if (const auto own = executor_.level())
+    {
+        add(*own);
+    }
+    for (const admission_level& level : pressure_.levels(clock::now()))
+    {
+        add(level);
+    }
+    return view;
+}
+
+submit_result node::impl::submit(const submit_request& request)
+{
+    fescueridge::submit_result result;
+    result.current_version = sheets_.version().get();
+    const sheet_or_faults parsed = parse_sheet(request.content);
+    if (const auto* faults = std::get_if<std::vector<sheet_fault>>(&parsed))
+    {
+        result.status = submit_status::refused;
+        result.faults = *faults;
+        return result;
+    }
+    config_follower* follower = sheet_sync_->follower();
+    if (follower == nullptr)
+    {
+        result.status = submit_status::unavailable;
+        return result;
+    }
+    return result;
+}
+
+drain_result node::impl::drain()
+{
+    monitor_.drain();
+    drain_result result;
+    result.state = std::string(to_string(server_state::draining));
+    result.in_flight = static_cast<std::uint32_t>(executor_.in_flight());
+    return result;
+}
+
+std::string node::impl::metrics() const
+{
+    const gossip_counters gossip = gossip_->counters();
+    const executor_load load = executor_.load();
+    const call_counts& counts = ports_.counts();
+    const nlohmann::ordered_json body{
+        {"calls_ok", counts.ok.load()},
+        {"calls_not_run", counts.not_run.load()},
+        {"calls_unknown", counts.unknown.load()},
+        {"calls_failed", counts.failed.load()},
+        {"in_flight", in_flight()},
+        {"limit", load.limit},
+        {"running", load.running},
+        {"queued", load.queued},
+        {"links", hub_->links().size()},
+        {"gossip_bytes_sent", gossip.bytes_sent},
+        {"gossip_bytes_received", gossip.bytes_received},
+        {"caller_connections", caller_server_->open_connections()},
+    };
+    return body.dump();
+}
+
+} // namespace fescueridge
--- /dev/null
+++ b/src/node/peer_table.cpp
@@ -0,0 +1,234 @@
+#include "fescueridge/node/peer_table.hpp"
+
+#include <algorithm>
+
+#include "fescueridge/base/clock.hpp"
+
+namespace fescueridge {
+
+namespace {
+
+server_member to_server_member(const member_view& member, bool link_up)
+{
+    server_member result;
+    result.node = member.record.node;
+    result.domain = member.record.domain;
+    result.state = member.record.state;
+    result.slots = member.record.slots;
+    result.number = member.record.number;
+    result.warm_up = member.record.warm_up;
+    result.link_up = link_up;
+    return result;
+}
+
+} // namespace
+
+peer_table::peer_table(node_id self, domain_name domain)
+    : self_(std::move(self)), domain_(std::move(domain))
+{
+}
+
+void peer_table::update(const member_record& self, const std::vector<member_view>& members)
+{
+    const std::unique_lock lock(mutex_);
+    members_.clear();
+    members_.push_back({self, liveness::alive});
+    members_.insert(members_.end(), members.begin(), members.end());
+    endpoints_.clear();
+    for (const member_view& member : members)
+    {
+        endpoints_[member.record.node] = member.record.link;
+    }
+    rebuild_balancers();
+}
+
+bool peer_table::is_link_up(const member_view& member) const
+{
+    return member.record.node == self_ || (member.status != liveness::dead &&
+                                           lost_links_.count(member.record.node) == 0);
+}
+
+void peer_table::rebuild_balancers()
+{
+    std::unordered_map<service_name, std::vector<server_member>> by_service;
+    for (const member_view& member : members_)
+    {
+        if (!member.record.service.get().empty())
+        {
+            by_service[member.record.service].push_back(
+                to_server_member(member, is_link_up(member)));
+        }
+    }
+    const time_point now = clock::now();
+    for (const auto& [service, servers] : by_service)
+    {
+        auto& balancer = balancers_[service];
+        if (!balancer)
+        {
+            balancer = std::make_shared<backend_server_balancer>(domain_);
+        }
+        balancer->update(servers, now);
+    }
+    for (const auto& [service, balancer] : balancers_)
+    {
+        if (by_service.count(service) == 0)
+        {
+            balancer->update({}, now);
+        }
+    }
+}
+
+std::shared_ptr<backend_server_balancer>
+peer_table::balancer(const service_name& service) const
+{
+    const std::shared_lock lock(mutex_);
+    const auto found = balancers_.find(service);
+    return found == balancers_.end() ? nullptr : found->second;
+}
+
+void peer_table::with_link(const node_id& node, link_callback done)
+{
+    if (link_ptr open = hub_->find(node))
+    {
+        done(std::move(open));
+        return;
+    }
+    std::optional<endpoint> target;
+    {
+        const std::shared_lock lock(mutex_);
+        const auto found = endpoints_.find(node);
+        if (found != endpoints_.end())
+        {
+            target = found->second;
+        }
+    }
+    if (!target)
+    {
+        done(nullptr);
+        return;
+    }
+    hub_->dial(*target, [this, node, done = std::move(done)](const link_ptr& opened) {
+        if (!opened)
+        {
+            on_link_closed(node);
+        }
+        done(opened);
+    });
+}
+
+void peer_table::on_link_open(const node_id& node)
+{
+    const std::unique_lock lock(mutex_);
+    if (lost_links_.erase(node) > 0)
+    {
+        rebuild_balancers();
+    }
+}
+
+void peer_table::on_link_closed(const node_id& node)
+{
+    if (hub_->find(node))
+    {
+        return; // another link to the same node is open
+    }
+    const std::unique_lock lock(mutex_);
+    lost_links_.insert(node);
+    for (const auto& [service, balancer] : balancers_)
+    {
+        balancer->on_link_broken(node, clock::now());
+    }
+}
+
+void peer_table::redial()
+{
+    std::vector<endpoint> targets;
+    {
+        const std::unique_lock lock(mutex_);
+        for (auto it = lost_links_.begin(); it != lost_links_.end();)
+        {
+            const auto found = endpoints_.find(*it);
+            if (found == endpoints_.end())
+            {
+                it = lost_links_.erase(it); // the member was forgotten
+                continue;
+            }
+            targets.push_back(found->second);
+            ++it;
+        }
+    }
+    for (const endpoint& target : targets)
+    {
+        hub_->dial(target);
+    }
+}
+
+std::vector<node_id> peer_table::live_nodes(const domain_name& domain) const
+{
+    const std::shared_lock lock(mutex_);
+    std::vector<node_id> result;
+    for (const member_view& member : members_)
+    {
+        if (member.record.domain == domain && member.status != liveness::dead)
+        {
+            result.push_back(member.record.node);
+        }
+    }
+    return result;
+}
+
+std::vector<node_id> peer_table::live_nodes_of(const service_name& service) const
+{
+    const std::shared_lock lock(mutex_);
+    std::vector<node_id> result;
+    for (const member_view& member : members_)
+    {
+        if (member.record.service == service && member.status != liveness::dead &&
+            member.record.node != self_)
+        {
+            result.push_back(member.record.node);
+        }
+    }
+    return result;
+}
+
+std::vector<domain_name> peer_table::domains() const
+{
+    const std::shared_lock lock(mutex_);
+    std::vector<domain_name> result;
+    for (const member_view& member : members_)
+    {
+        result.push_back(member.record.domain);
+    }
+    std::sort(result.begin(), result.end());
+    result.erase(std::unique(result.begin(), result.end()), result.end());
+    return result;
+}
+
+std::optional<node_id> peer_table::holder_of_newer_sheet(sheet_version known) const
+{
+    const std::shared_lock lock(mutex_);
+    std::optional<node_id> best;
+    sheet_version best_version = known;
+    for (const member_view& member : members_)
+    {
+        if (member.status != liveness::dead && member.record.sheet > best_version)
+        {
+            best = member.record.node;
+            best_version = member.record.sheet;
+        }
+    }
+    return best;
+}
+
+bool peer_table::has_live_neighbour() const
+{
+    return live_nodes(domain_).size() > 1;
+}
+
+std::vector<member_view> peer_table::members() const
+{
+    const std::shared_lock lock(mutex_);
+    return members_;
+}
+
+} // namespace fescueridge
--- /dev/null
+++ b/src/node/periodic_timer.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+
+#include "fescueridge/base/clock.hpp"
+
+namespace fescueridge::detail
+{
+
+/// Runs a task at an interval until the io_context stops. The next interval begins when
+/// the task has ended, so a slow task does not pile up.
+class periodic_timer : public std::enable_shared_from_this<periodic_timer>
+{
+public:
+    periodic_timer(asio::io_context& io, milliseconds interval, std::function<void()> task)
+        : timer_(io), interval_(interval), task_(std::move(task))
+    {
+    }
+
+    static void start(asio::io_context& io, milliseconds interval, std::function<void()> task)
+    {
+        std::make_shared<periodic_timer>(io, interval, std::move(task))->arm();
+    }
+
+private:
+    void arm()
+    {
+        timer_.expires_after(interval_);
+        timer_.async_wait([self = shared_from_this()](const asio::error_code& problem) {
+            if (!problem)
+            {
+                self->task_();
+                self->arm();
+            }
+        });
+    }
+
+    asio::steady_timer timer_;
+    const milliseconds interval_;
+    const std::function<void()> task_;
+};
+
+} // namespace fescueridge::detail
--- /dev/null
+++ b/src/node/quarantine_sync.cpp
@@ -0,0 +1,91 @@
+#include "fescueridge/node/quarantine_sync.hpp"
+
+#include <fmt/format.h>
+
+namespace fescueridge
+{
+
+namespace
+{
+
+constexpr milliseconds append_timeout{1000};
+
+// A record that the log does not take in five attempts is known to the nodes of the
+// service all the same; they append it again after the next crash or completed run.
+constexpr int append_attempts = 5;
+
+} // namespace
+
+quarantine_sync::quarantine_sync(log_service* log, suspicion_table& suspicions,
+                                 const peer_table& peers, background_worker& worker,
+                                 event_log& events, sender send)
+    : suspicions_(suspicions), peers_(peers), worker_(worker), events_(events),
+      send_(std::move(send))
+{
+    if (log == nullptr)
+    {
+        return;
+    }
+    follower_ = std::make_unique<quarantine_follower>(
+        *log, follow_options{},
+        [this](const quarantine_record& record) { suspicions_.merge(record); },
+        [this](const error& problem) {
+            events_.record("quarantine_log_fault", {{"reason", std::string(problem.what())}});
+        });
+}
+
+quarantine_sync::~quarantine_sync()
+{
+    stop();
+}
+
+void quarantine_sync::stop()
+{
+    if (follower_)
+    {
+        follower_->stop();
+    }
+}
+
+void quarantine_sync::publish(const service_name& service,
+                              const std::vector<quarantine_record>& records)
+{
+    const std::vector<node_id> nodes = peers_.live_nodes_of(service);
+    for (const quarantine_record& record : records)
+    {
+        events_.record("request_suspected",
+                       {{"fingerprint", fmt::format("{:016x}", record.request.get())},
+                        {"crashes", static_cast<std::int64_t>(record.crashes.size())},
+                        {"cleared", static_cast<std::int64_t>(record.cleared.size())}});
+        for (const node_id& node : nodes)
+        {
+            send_(node, strike_message{record});
+        }
+        append(record, append_attempts);
+    }
+}
+
+void quarantine_sync::append(const quarantine_record& record, int attempts_left)
+{
+    if (!follower_ || attempts_left == 0)
+    {
+        return;
+    }
+    worker_.post([this, record, attempts_left] {
+        try
+        {
+            follower_->append(record, append_timeout);
+        }
+        catch (const error&)
+        {
+            append(record, attempts_left - 1);
+        }
+    });
+}
+
+void quarantine_sync::on_strike(const strike_message& strike)
+{
+    suspicions_.merge(strike.record);
+}
+
+} // namespace fescueridge
--- /dev/null
+++ b/src/node/server_monitor.cpp
@@ -0,0 +1,107 @@
+#include "fescueridge/node/server_monitor.hpp"
+
+namespace fescueridge
+{
+
+server_monitor::server_monitor(
+    server_executor& executor, event_log& events,
+    std::function<void(const std::function<void(member_record&)>&)> spread)
+    : executor_(executor), events_(events), spread_(std::move(spread))
+{
+}
+
+void server_monitor::announce(const server_announcement& server)
+{
+    server_announcement current = server;
+    bool changed = false;
+    {
+        const std::lock_guard lock(mutex_);
+        const bool new_process = !server_ || server_->number != server.number;
+        if (new_process)
+        {
+            drained_ = false;
+        }
+        if (drained_)
+        {
+            current.state = server_state::draining;
+        }
+        changed = new_process || server_->state != current.state ||
+                  server_->slots != current.slots || server_->differs_from(current);
+        server_ = current;
+        last_heartbeat_ = clock::now();
+    }
+    if (!changed)
+    {
+        return;
+    }
+    executor_.announce(current);
+    spread(current);
+}
+
+void server_monitor::spread(const server_announcement& server)
+{
+    events_.record("server_state", {{"service", server.service.get()},
+                                    {"state", std::string(to_string(server.state))}});
+    spread_([&](member_record& record) {
+        record.service = server.service;
+        record.state = server.state;
+        record.slots = server.slots;
+        record.warm_up = server.warm_up;
+    });
+}
+
+void server_monitor::drain()
+{
+    std::optional<server_announcement> current;
+    {
+        const std::lock_guard lock(mutex_);
+        drained_ = true;
+        if (server_)
+        {
+            server_->state = server_state::draining;
+        }
+        current = server_;
+    }
+    if (current)
+    {
+        executor_.announce(*current);
+        spread(*current);
+    }
+}
+
+void server_monitor::on_death()
+{
+    std::optional<server_announcement> current;
+    {
+        const std::lock_guard lock(mutex_);
+        if (!server_ || server_->state == server_state::gone)
+        {
+            return;
+        }
+        server_->state = server_state::gone;
+        current = server_;
+    }
+    spread(*current);
+}
+
+void server_monitor::check_heartbeat()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        if (!server_ || server_->state == server_state::gone ||
+            clock::now() - last_heartbeat_ < heartbeat_timeout)
+        {
+            return;
+        }
+    }
+    on_death();
+    executor_.lose_server();
+}
+
+std::optional<server_announcement> server_monitor::server() const
+{
+    const std::lock_guard lock(mutex_);
+    return server_;
+}
+
+} // namespace fescueridge
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -372,13 +372,13 @@
     return std::max(1U, each->peak.value(in_flight, now));
 }
 
-std::vector<server_view> backend_server_balancer::view(time_point now) const
+std::vector<balancer_view> backend_server_balancer::view(time_point now) const
 {
     const std::lock_guard lock(impl_->mutex);
-    std::vector<server_view> result;
+    std::vector<balancer_view> result;
     for (const auto& [node, each] : impl_->servers)
     {
-        server_view row;
+        balancer_view row;
         row.node = node;
         row.in_flight = static_cast<std::uint32_t>(each.running.size());
         row.latency =
--- a/src/sheet/operator_api.cpp
+++ b/src/sheet/operator_api.cpp
@@ -82,9 +82,9 @@
                            field("reachable", &t::reachable));
 }
 
-constexpr auto fields_of(const server_view* /*type*/)
+constexpr auto fields_of(const server_status* /*type*/)
 {
-    using t = server_view;
+    using t = server_status;
     return std::make_tuple(field("service", &t::service), field("state", &t::state),
                            field("slots", &t::slots), field("limit", &t::limit),
                            field("running", &t::running), field("queued", &t::queued));
@@ -107,9 +107,9 @@
                            field("log", &t::log));
 }
 
-constexpr auto fields_of(const member_view* /*type*/)
+constexpr auto fields_of(const member_status* /*type*/)
 {
-    using t = member_view;
+    using t = member_status;
     return std::make_tuple(field("node", &t::node), field("incarnation", &t::incarnation),
                            field("domain", &t::domain), field("region", &t::region),
                            field("service", &t::service), field("state", &t::state),
@@ -345,10 +345,10 @@
 template void from_json<domain_view>(const json&, domain_view&);
 template std::string to_body<domain_view>(const domain_view&);
 template domain_view parse_body<domain_view>(const std::string&);
-template void to_json<server_view>(json&, const server_view&);
-template void from_json<server_view>(const json&, server_view&);
-template std::string to_body<server_view>(const server_view&);
-template server_view parse_body<server_view>(const std::string&);
+template void to_json<server_status>(json&, const server_status&);
+template void from_json<server_status>(const json&, server_status&);
+template std::string to_body<server_status>(const server_status&);
+template server_status parse_body<server_status>(const std::string&);
 template void to_json<log_view>(json&, const log_view&);
 template void from_json<log_view>(const json&, log_view&);
 template std::string to_body<log_view>(const log_view&);
@@ -357,10 +357,10 @@
 template void from_json<status_view>(const json&, status_view&);
 template std::string to_body<status_view>(const status_view&);
 template status_view parse_body<status_view>(const std::string&);
-template void to_json<member_view>(json&, const member_view&);
-template void from_json<member_view>(const json&, member_view&);
-template std::string to_body<member_view>(const member_view&);
-template member_view parse_body<member_view>(const std::string&);
+template void to_json<member_status>(json&, const member_status&);
+template void from_json<member_status>(const json&, member_status&);
+template std::string to_body<member_status>(const member_status&);
+template member_status parse_body<member_status>(const std::string&);
 template void to_json<members_view>(json&, const members_view&);
 template void from_json<members_view>(const json&, members_view&);
 template std::string to_body<members_view>(const members_view&);
--- a/src/state/claim_client.cpp
+++ b/src/state/claim_client.cpp
@@ -124,6 +124,16 @@
     return true;
 }
 
+void claim_client::release(const call_id& call)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto found = calls_.find(call);
+    if (found != calls_.end())
+    {
+        give_up(found);
+    }
+}
+
 /// Forgets a call that was not dispatched, so it never is, and voids its claim if that
 /// may be in the log. spec/claims.pml, label give_up.
 void claim_client::give_up(calls::iterator found)
