--- a/src/sheet/explain.cpp
+++ b/src/sheet/explain.cpp
@@ -178,11 +178,14 @@
 std::string explain(const refusal_record& record)
 {
     const reason_text& reason = reason_texts[static_cast<std::size_t>(record.reason)];
+    // A call that may have run was not refused.
+    const char* const verb =
+        record.result == outcome::not_run ? "was refused" : "was not answered as asked";
     std::string text = fmt::format(
-        "The call of caller \"{}\" to service \"{}\" was refused on {} by node \"{}\" in "
+        "The call of caller \"{}\" to service \"{}\" {} on {} by node \"{}\" in "
         "failure domain \"{}\".\nReason ({}): {}.",
         detail::printable(record.caller.get()), detail::printable(record.service.get()),
-        describe_time(record.wall_ms), detail::printable(record.node.get()),
+        verb, describe_time(record.wall_ms), detail::printable(record.node.get()),
         detail::printable(record.domain.get()), to_string(record.reason), reason.why);
     text += fmt::format(" The call had priority {}; 0 is the most important, {} the "
                         "least.",
