Test log faults, sheet races and at most once under random schedules

Ruled out: counting claims in the log as executions; the tests count what confirm_dispatch let through. Change: unit tests of platform and state; a change from one kind of log fault to another is reported, which the test of a log that goes backwards needs.

--- a/src/include/fescueridge/state/stream_follower.hpp
+++ b/src/include/fescueridge/state/stream_follower.hpp
@@ -49,7 +49,8 @@
     std::function<void(const log_page&)> page;
     /// Records that were not read yet are dropped; reading goes on at this offset.
     std::function<void(log_offset oldest)> truncated;
-    /// The log is unavailable or went backwards; called once at the start of a fault.
+    /// The log is unavailable or went backwards; called once at the start of each
+    /// kind of fault.
     std::function<void(const error&)> fault;
 };
 
@@ -84,6 +85,7 @@
     bool following_ = true;
     log_offset next_{0};
     milliseconds backoff_{0};
+    bool backwards_ = false;
     std::thread thread_;
 };
 
--- /dev/null
+++ b/src/state/claims_fault_test.cpp
@@ -0,0 +1,210 @@
+#include <atomic>
+#include <criterion/criterion.h>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <thread>
+
+#include "fescueridge/platform/memory_log_service.hpp"
+#include "fescueridge/state/claim_client.hpp"
+
+using namespace fescueridge;
+
+namespace
+{
+
+using fault = memory_log_service::append_fault;
+
+/// What callers were told and what ran, over all nodes.
+struct ledger
+{
+    std::mutex mutex;
+    std::multimap<std::string, std::string> executions; ///< By key.
+    std::set<std::string> executed_calls;
+    std::set<std::string> not_run;
+    std::atomic<int> answered{0};
+};
+
+claim_client_options options_of(std::uint64_t node)
+{
+    claim_client_options options;
+    options.service = service_name("publish");
+    options.node = incarnation(node);
+    options.append_interval = milliseconds(1);
+    options.done_delay = milliseconds(5);
+    options.decision_timeout = milliseconds(40);
+    options.append_timeout = milliseconds(30);
+    options.retention = milliseconds(600);
+    options.follow.wait = milliseconds(20);
+    options.follow.min_backoff = milliseconds(2);
+    options.follow.max_backoff = milliseconds(10);
+    return options;
+}
+
+/// One node with its callers. Runs what it may, pauses at random and gives up at random.
+class fault_node
+{
+public:
+    fault_node(log_service& log, ledger& book, std::uint64_t seed, int number)
+        : book_(book), random_(seed + static_cast<std::uint64_t>(number)),
+          name_(std::to_string(number) + "."),
+          client_(std::make_unique<claim_client>(log, options_of(random_())))
+    {
+    }
+
+    void send_calls(int count)
+    {
+        for (int i = 0; i < count; ++i)
+        {
+            send("key" + std::to_string(random_() % 60), name_ + std::to_string(i));
+            std::this_thread::sleep_for(milliseconds(random_() % 4));
+        }
+        while (waiting_ > 0)
+        {
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+        client_.reset();
+    }
+
+private:
+    void send(const std::string& key, const std::string& call)
+    {
+        const milliseconds pause(random_() % 8 == 0 ? 60 : 0);
+        const bool impatient = random_() % 6 == 0;
+        ++waiting_;
+        client_->acquire(idempotency_key(key), call_id(call), milliseconds(50),
+                         [this, key, call, pause](const claim_result& result)
+                         { answer(key, call, pause, result); });
+        if (impatient && client_->abandon(call_id(call)))
+        {
+            note_not_run(call);
+            --waiting_;
+        }
+    }
+
+    void answer(const std::string& key, const std::string& call, milliseconds pause,
+                const claim_result& result)
+    {
+        if (std::holds_alternative<claim_unavailable>(result))
+        {
+            note_not_run(call);
+            --waiting_;
+        }
+        else if (std::holds_alternative<claim_key_in_use>(result))
+        {
+            --waiting_;
+        }
+        else
+        {
+            std::this_thread::sleep_for(pause);
+            run(key, call);
+        }
+    }
+
+    void run(const std::string& key, const std::string& call)
+    {
+        if (client_->confirm_dispatch(call_id(call), clock::now()))
+        {
+            const std::lock_guard<std::mutex> lock(book_.mutex);
+            book_.executions.emplace(key, call);
+            book_.executed_calls.insert(call);
+        }
+        else
+        {
+            note_not_run(call);
+        }
+        client_->finish(call_id(call));
+        --waiting_;
+    }
+
+    void note_not_run(const std::string& call)
+    {
+        const std::lock_guard<std::mutex> lock(book_.mutex);
+        book_.not_run.insert(call);
+    }
+
+    ledger& book_;
+    random_engine random_;
+    std::string name_;
+    std::atomic<int> waiting_{0};
+    std::unique_ptr<claim_client> client_;
+};
+
+/// Puts the log through outages, slowness and retention until told to stop.
+void disturb(memory_log_service& log, std::uint64_t seed, const std::atomic<bool>& over)
+{
+    random_engine random(seed);
+    log.set_retention(milliseconds(600));
+    while (!over)
+    {
+        const auto draw = random() % 6;
+        log.set_down(draw == 0);
+        log.set_slow(milliseconds(draw == 1 ? 50 : draw == 2 ? 10 : 0));
+        std::this_thread::sleep_for(milliseconds(10 + random() % 30));
+    }
+    log.set_down(false);
+    log.set_slow(milliseconds(0));
+}
+
+void run_schedule(std::uint64_t seed)
+{
+    memory_log_service log;
+    random_engine faults(seed);
+    log.set_append_faults(
+        [&faults]
+        {
+            const auto draw = faults() % 20;
+            return draw < 2   ? fault::lost_answer
+                   : draw < 3 ? fault::lost_append
+                   : draw < 5 ? fault::delayed
+                   : draw < 6 ? fault::down
+                              : fault::none;
+        },
+        milliseconds(70));
+    ledger book;
+    std::atomic<bool> over{false};
+    std::thread disturber([&] { disturb(log, seed ^ 1U, over); });
+    std::vector<std::thread> nodes;
+    for (int round = 0; round < 2; ++round)
+    {
+        for (int number = 0; number < 4; ++number)
+        {
+            nodes.emplace_back([&, number = round * 4 + number]
+                               { fault_node(log, book, seed, number).send_calls(150); });
+        }
+        // The second round are fresh nodes that start in mid-stream.
+        std::this_thread::sleep_for(milliseconds(500));
+    }
+    for (std::thread& node : nodes)
+    {
+        node.join();
+    }
+    over = true;
+    disturber.join();
+    cr_assert(!book.executions.empty(), "seed %llu: nothing ran",
+              static_cast<unsigned long long>(seed));
+    for (const auto& [key, call] : book.executions)
+    {
+        cr_assert_eq(book.executions.count(key), 1, "seed %llu: %s ran %zu times",
+                     static_cast<unsigned long long>(seed), key.c_str(),
+                     book.executions.count(key));
+        cr_assert_eq(book.not_run.count(call), 0, "seed %llu: %s ran after not run",
+                     static_cast<unsigned long long>(seed), call.c_str());
+    }
+}
+
+} // namespace
+
+// Guards against a key that runs twice and a call that runs after "not run", under lost
+// answers, delayed effects, outages, slowness, retention, pauses, give-ups and fresh
+// nodes.
+Test(claims, random_fault_schedules, .timeout = 60)
+{
+    const std::uint64_t first = random_seed();
+    for (std::uint64_t i = 0; i < 4; ++i)
+    {
+        cr_log_info("seed %llu", static_cast<unsigned long long>(first + i));
+        run_schedule(first + i);
+    }
+}
--- /dev/null
+++ b/src/state/claims_test.cpp
@@ -0,0 +1,280 @@
+#include <atomic>
+#include <criterion/criterion.h>
+#include <future>
+#include <map>
+#include <memory>
+#include <thread>
+
+#include "fescueridge/platform/memory_log_service.hpp"
+#include "fescueridge/state/claim_client.hpp"
+
+using namespace fescueridge;
+
+namespace
+{
+
+using fault = memory_log_service::append_fault;
+
+const service_name service{"publish"};
+const std::string stream = "claims.publish";
+constexpr std::int64_t day_ms = 24 * 3'600'000;
+constexpr milliseconds week{7 * day_ms};
+
+claim_entry claim_of(std::uint64_t key, const std::string& call)
+{
+    return {key_hash(key), call_id(call), incarnation(1), week};
+}
+
+void_entry void_of(std::uint64_t key, const std::string& call)
+{
+    return {key_hash(key), call_id(call)};
+}
+
+/// Replays entries, one record each, and keeps the decisions.
+struct replay
+{
+    claims_state state;
+    std::map<std::string, bool> won;
+    std::int64_t wall_ms = 0;
+
+    void add(const claims_record& record)
+    {
+        state.add({state.next(), wall_ms, encode_claims_record(record)});
+        for (const claim_decision& decision : state.table().take_decisions())
+        {
+            won[decision.call.get()] = decision.won;
+        }
+    }
+    void add(const claims_entry& entry) { add(claims_record(claims_batch{{entry}})); }
+    bool owns(std::uint64_t key, const std::string& call) const
+    {
+        const taken_key* taken = state.table().find(key_hash(key));
+        return taken != nullptr && taken->call.get() == call;
+    }
+};
+
+claim_client_options options_of(std::uint64_t node)
+{
+    claim_client_options options;
+    options.service = service;
+    options.node = incarnation(node);
+    options.append_interval = milliseconds(1);
+    options.done_delay = milliseconds(20);
+    options.decision_timeout = milliseconds(300);
+    options.append_timeout = milliseconds(100);
+    options.follow.wait = milliseconds(50);
+    options.follow.min_backoff = milliseconds(5);
+    options.follow.max_backoff = milliseconds(30);
+    return options;
+}
+
+claim_result claim(claim_client& client, const std::string& key, const std::string& call,
+                   milliseconds time_left = milliseconds(2'000))
+{
+    auto promise = std::make_shared<std::promise<claim_result>>();
+    client.acquire(idempotency_key(key), call_id(call), time_left,
+                   [promise](const claim_result& result) { promise->set_value(result); });
+    auto future = promise->get_future();
+    cr_assert(future.wait_for(std::chrono::seconds(5)) == std::future_status::ready);
+    return future.get();
+}
+
+template <class Result>
+bool is(const claim_result& result)
+{
+    return std::holds_alternative<Result>(result);
+}
+
+bool eventually_owner(memory_log_service& log, std::uint64_t wanted_voids)
+{
+    const time_point deadline = clock::now() + milliseconds(3'000);
+    while (clock::now() < deadline)
+    {
+        std::uint64_t voids = 0;
+        for (const log_record& raw : log.records(stream))
+        {
+            const claims_record record = decode_claims_record(raw.data);
+            for (const claims_entry& entry : std::get<claims_batch>(record).entries)
+            {
+                voids += std::holds_alternative<void_entry>(entry) ? 1 : 0;
+            }
+        }
+        if (voids >= wanted_voids)
+        {
+            return true;
+        }
+        std::this_thread::sleep_for(milliseconds(2));
+    }
+    return false;
+}
+
+} // namespace
+
+// Guards against a second winner: a dead claim that revives after the first was voided,
+// or a void that misses its claim because it stands before it.
+Test(claims, first_claim_that_is_not_void_wins)
+{
+    replay log;
+    log.add(claim_of(1, "a"));
+    log.add(claim_of(1, "b"));
+    log.add(void_of(1, "a"));
+    log.add(claim_of(1, "b"));
+    cr_assert(log.won.at("a") && !log.won.at("b"));
+    cr_assert_null(log.state.table().find(key_hash(1)), "b is dead for good");
+    log.add(claim_of(1, "c"));
+    cr_assert(log.owns(1, "c"));
+    log.add(void_of(2, "d"));
+    log.add(claim_of(2, "d"));
+    cr_assert_eq(log.won.count("d"), 0, "a void counts before its claim too");
+    log.add(claim_of(2, "e"));
+    cr_assert(log.owns(2, "e"));
+    log.add(done_entry{key_hash(2), call_id("e")});
+    log.add(void_of(2, "e"));
+    cr_assert(log.owns(2, "e"), "a done key stays taken");
+}
+
+// Guards against nodes that forget a key at different times: expiry follows log times and
+// the time that stands in the claim.
+Test(claims, keys_expire_by_log_time)
+{
+    replay log;
+    log.add(claim_of(1, "a"));
+    log.wall_ms = 7 * day_ms - 1;
+    log.add(claim_of(1, "b"));
+    cr_assert(!log.won.at("b"));
+    log.wall_ms = 7 * day_ms;
+    log.add(claim_of(1, "c"));
+    cr_assert(log.won.at("c"));
+}
+
+// Guards against a fresh node that grants a taken key because the records of its claim,
+// or of a void that has not met its claim, were dropped.
+Test(claims, carry_keeps_keys_and_waiting_voids)
+{
+    replay log;
+    log.add(claim_of(1, "a"));
+    log.add(void_of(2, "late"));
+    const claims_record carry = log.state.table().to_carry(log.state.next());
+    claims_carry stale;
+    stale.as_of = log_offset(1);
+
+    replay fresh;
+    fresh.state.restart(log_offset(2));
+    fresh.add(claims_record(stale));
+    cr_assert(!fresh.state.complete(), "an unverified carry is skipped");
+    fresh.add(claim_of(1, "b"));
+    cr_assert_eq(fresh.won.size(), 0);
+    fresh.add(carry);
+    cr_assert(fresh.state.complete());
+    cr_assert(fresh.owns(1, "a") && !fresh.won.at("b"));
+    fresh.add(claim_of(2, "late"));
+    cr_assert_null(fresh.state.table().find(key_hash(2)));
+    for (const char* bytes : {"", "\x81\x07", "\x82\x01\x02", "\x83\x02\x01\x01"})
+    {
+        cr_assert_throw(decode_claims_record(bytes), codec_error);
+    }
+}
+
+// Guards against both of two nodes running a key that they claim at the same time, and
+// against a resend that does not learn whether the first call has ended.
+Test(claims, two_nodes_claim_one_key)
+{
+    memory_log_service log;
+    claim_client a(log, options_of(1));
+    claim_client b(log, options_of(2));
+    const auto ask = [](claim_client& client, const std::string& call)
+    {
+        return is<claim_won>(claim(client, "key", call));
+    };
+    auto other = std::async(std::launch::async, [&] { return ask(b, "b-1"); });
+    const bool a_won = ask(a, "a-1");
+    cr_assert(a_won != other.get());
+    claim_client& winner = a_won ? a : b;
+    const call_id call(a_won ? "a-1" : "b-1");
+    cr_assert(!std::get<claim_key_in_use>(claim(a, "key", "a-2")).done);
+    cr_assert(winner.confirm_dispatch(call, clock::now()));
+    cr_assert(!winner.confirm_dispatch(call, clock::now()), "dispatch happens once");
+    winner.finish(call);
+    std::this_thread::sleep_for(milliseconds(200));
+    cr_assert(std::get<claim_key_in_use>(claim(b, "key", "b-2")).done);
+}
+
+// Guards against refusals that come too late, and against a claim that is in the log
+// after its caller was told not run: a delayed effect must meet its void.
+Test(claims, log_faults_refuse_in_time)
+{
+    memory_log_service log;
+    claim_client client(log, options_of(1));
+    cr_assert(is<claim_won>(claim(client, "warm", "a-0")));
+    log.set_append_faults([] { return fault::lost_answer; });
+    cr_assert(is<claim_won>(claim(client, "lost", "a-1")),
+              "read back after a lost answer");
+    log.set_append_faults([] { return fault::delayed; }, milliseconds(500));
+    const time_point start = clock::now();
+    cr_assert(is<claim_unavailable>(claim(client, "late", "a-2")));
+    cr_assert(clock::now() - start < milliseconds(1'000));
+    cr_assert(!client.confirm_dispatch(call_id("a-2"), clock::now()));
+    log.set_append_faults({});
+    cr_assert(eventually_owner(log, 1), "the void is appended");
+    std::this_thread::sleep_for(milliseconds(500));
+    cr_assert(is<claim_won>(claim(client, "late", "a-3")), "the void frees the key");
+    log.set_down(true);
+    const time_point down = clock::now();
+    cr_assert(is<claim_unavailable>(claim(client, "down", "a-4")));
+    cr_assert(clock::now() - down < milliseconds(1'000));
+}
+
+// Guards against a holder that was frozen past its deadline and dispatches on waking, and
+// against a call that is both abandoned and dispatched.
+Test(claims, frozen_holder_and_abandon_race)
+{
+    memory_log_service log;
+    claim_client client(log, options_of(1));
+    cr_assert(is<claim_won>(claim(client, "frozen", "a-0", milliseconds(400))));
+    const time_point woken = clock::now() + milliseconds(400);
+    cr_assert(!client.confirm_dispatch(call_id("a-0"), woken));
+    for (int i = 1; i <= 50; ++i)
+    {
+        const call_id call("a-" + std::to_string(i));
+        cr_assert(is<claim_won>(claim(client, call.get(), call.get())));
+        auto abandoned =
+            std::async(std::launch::async, [&] { return client.abandon(call); });
+        const bool dispatched = client.confirm_dispatch(call, clock::now());
+        cr_assert(abandoned.get() != dispatched);
+    }
+}
+
+// Guards against a node that grants keys before it knows the table: all records that tell
+// who holds a key are dropped and no carry stands in the log.
+Test(claims, fresh_node_without_a_complete_table_refuses)
+{
+    memory_log_service log;
+    log.append(stream, encode_claims_record(claims_batch{{claim_of(1, "a")}}),
+               milliseconds(100));
+    log.append(stream, encode_claims_record(claims_batch{}), milliseconds(100));
+    log.drop_before(stream, log_offset(1));
+    claim_client client(log, options_of(1));
+    cr_assert(is<claim_unavailable>(claim(client, "key", "b-1")));
+    cr_assert(!client.ready());
+    cr_assert_eq(log.append_count(), 2);
+}
+
+// Guards against one append per call: the log takes several hundred appends a second.
+Test(claims, claims_are_committed_in_groups)
+{
+    memory_log_service log;
+    claim_client_options options = options_of(1);
+    options.append_interval = milliseconds(20);
+    claim_client client(log, options);
+    std::atomic<int> won{0};
+    for (int i = 0; i < 200; ++i)
+    {
+        client.acquire(idempotency_key(std::to_string(i)), call_id(std::to_string(i)),
+                       milliseconds(2'000),
+                       [&](const claim_result& r) { won += is<claim_won>(r) ? 1 : 0; });
+    }
+    std::this_thread::sleep_for(milliseconds(200));
+    cr_assert_eq(won, 200);
+    cr_assert(log.append_count() < 10, "%zu appends", log.append_count());
+    client.stop();
+}
--- /dev/null
+++ b/src/state/config_test.cpp
@@ -0,0 +1,295 @@
+#include <algorithm>
+#include <atomic>
+#include <criterion/criterion.h>
+#include <mutex>
+#include <random>
+#include <thread>
+
+#include "fescueridge/platform/memory_log_service.hpp"
+#include "fescueridge/state/config_follower.hpp"
+#include "fescueridge/state/contacts_log.hpp"
+#include "fescueridge/state/quarantine_log.hpp"
+
+using namespace fescueridge;
+
+namespace
+{
+
+using fault = memory_log_service::append_fault;
+
+constexpr milliseconds timeout{500};
+
+template <class Predicate>
+bool eventually(Predicate&& predicate, milliseconds limit = milliseconds(5'000))
+{
+    const time_point deadline = clock::now() + limit;
+    while (!predicate())
+    {
+        if (clock::now() > deadline)
+        {
+            return false;
+        }
+        std::this_thread::sleep_for(milliseconds(2));
+    }
+    return true;
+}
+
+log_record record_at(std::uint64_t offset, const config_record& record)
+{
+    return {log_offset(offset), static_cast<std::int64_t>(offset) * 10,
+            encode_config_record(record)};
+}
+
+submit_record submit_of(const std::string& id, std::uint64_t base)
+{
+    return {id, sheet_version(base), "author-" + id, "content-" + id};
+}
+
+sheet_carry_record carry_of(std::uint64_t version, std::uint64_t as_of,
+                            const std::string& id)
+{
+    return {sheet_version(version), log_offset(as_of), "content-" + id};
+}
+
+config_follower_options fast_options()
+{
+    config_follower_options options;
+    options.follow.wait = milliseconds(50);
+    options.follow.min_backoff = milliseconds(5);
+    options.follow.max_backoff = milliseconds(40);
+    return options;
+}
+
+} // namespace
+
+// Guards against two operators being told that the same base was theirs, and against a
+// repeated submit counting twice.
+Test(config, first_submit_in_log_order_wins)
+{
+    config_state state;
+    state.add(record_at(0, submit_of("a", 0)));
+    state.add(record_at(1, submit_of("b", 0)));
+    state.add(record_at(2, submit_of("a", 0)));
+    state.add(record_at(3, submit_of("c", 1)));
+    const config_table& table = state.table();
+    cr_assert(table.version() == sheet_version(2));
+    cr_assert_str_eq(table.content().c_str(), "content-c");
+    const auto won = std::get<submit_accepted>(table.result("a"));
+    cr_assert(won.version == sheet_version(1));
+    const auto lost = std::get<submit_lost>(table.result("b"));
+    cr_assert_str_eq(lost.winner_id.c_str(), "a");
+    cr_assert_str_eq(lost.winner_author.c_str(), "author-a");
+    cr_assert(std::holds_alternative<submit_not_seen>(table.result("d")));
+}
+
+// Guards against a fresh reader that takes an old sheet from a late carry, and against
+// one that cannot start after old records were dropped.
+Test(config, reader_in_mid_stream_takes_a_verified_carry_only)
+{
+    config_state late;
+    late.restart(log_offset(5));
+    late.add(record_at(5, submit_of("x", 3)));
+    late.add(record_at(6, carry_of(2, 4, "old")));
+    cr_assert(!late.complete(), "records between as_of 4 and the carry were dropped");
+    late.add(record_at(7, carry_of(3, 5, "three")));
+    cr_assert(late.complete());
+    cr_assert(late.table().version() == sheet_version(4), "replays from as_of on");
+    cr_assert_str_eq(late.table().content().c_str(), "content-x");
+    late.add(record_at(8, carry_of(2, 4, "old")));
+    cr_assert(late.table().version() == sheet_version(4), "a stale carry is harmless");
+}
+
+// Guards against malformed records that stop a reader or are read differently.
+Test(config, malformed_records_are_reported_and_skipped)
+{
+    config_state state;
+    cr_assert(state.add({log_offset(0), 0, "garbage"}).has_value());
+    cr_assert(state.add(record_at(1, carry_of(9, 7, "future"))).has_value());
+    cr_assert(!state.add(record_at(2, submit_of("a", 0))).has_value());
+    cr_assert(state.table().version() == sheet_version(1));
+    for (const char* bytes : {"", "\x80", "\x81\x01", "\x84\x02\x01\x01\x01"})
+    {
+        cr_assert_throw(decode_config_record(bytes), codec_error);
+    }
+}
+
+// Guards against lost updates: many operators race over a log that loses answers, delays
+// effects and refuses; exactly the accepted submits make the versions, one each.
+Test(config, racing_operators_with_faults)
+{
+    const std::uint64_t seed = random_seed();
+    cr_log_info("seed %llu", static_cast<unsigned long long>(seed));
+    memory_log_service log;
+    std::mt19937_64 random(seed);
+    log.set_append_faults(
+        [&random]
+        {
+            const auto draw = random() % 10;
+            return draw < 2   ? fault::lost_answer
+                   : draw < 3 ? fault::lost_append
+                   : draw < 4 ? fault::delayed
+                              : fault::none;
+        },
+        milliseconds(80));
+    std::mutex mutex;
+    std::map<std::uint64_t, std::string> accepted;
+    const auto operate = [&](int number)
+    {
+        config_follower follower(log, fast_options(), {});
+        for (int i = 0; i < 4; ++i)
+        {
+            const auto base = follower.current();
+            const std::string content = std::to_string(number) + "/" + std::to_string(i);
+            const submit_result result = follower.submit(
+                content, base ? base->version : sheet_version(0), "operator");
+            if (const auto* won = std::get_if<submit_accepted>(&result))
+            {
+                const std::lock_guard<std::mutex> lock(mutex);
+                cr_assert(accepted.emplace(won->version.get(), content).second);
+            }
+            else
+            {
+                cr_assert(std::holds_alternative<submit_lost>(result), "seed %llu",
+                          static_cast<unsigned long long>(seed));
+            }
+        }
+    };
+    std::vector<std::thread> operators;
+    for (int i = 0; i < 4; ++i)
+    {
+        operators.emplace_back(operate, i);
+    }
+    for (std::thread& thread : operators)
+    {
+        thread.join();
+    }
+    config_state replay;
+    for (const log_record& record : log.records("config"))
+    {
+        replay.add(record);
+        const std::uint64_t version = replay.table().version().get();
+        cr_assert(version == 0 || accepted.at(version) == replay.table().content());
+    }
+    cr_assert_eq(replay.table().version().get(), accepted.size());
+}
+
+// Guards against a version in force that goes down: after an outage, from an old peer, or
+// when the log goes backwards.
+Test(config, version_in_force_never_goes_down)
+{
+    memory_log_service log;
+    std::mutex mutex;
+    std::vector<std::uint64_t> seen;
+    std::vector<std::string> faults;
+    config_follower_handlers handlers;
+    handlers.changed = [&](const sheet_in_force& sheet)
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        seen.push_back(sheet.version.get());
+    };
+    handlers.fault = [&](const std::string& name, const std::string&)
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        faults.push_back(name);
+    };
+    const auto reported = [&](const std::string& name)
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        return std::find(faults.begin(), faults.end(), name) != faults.end();
+    };
+    for (int i = 0; i < 3; ++i)
+    {
+        log.append("config", encode_config_record(submit_of(std::to_string(i), i)),
+                   timeout);
+    }
+    config_follower follower(log, fast_options(), handlers);
+    follower.set_following(true);
+    cr_assert(eventually([&] { return follower.caught_up() && follower.current(); }));
+    cr_assert(follower.offer({sheet_version(5), log_offset(9), "five"}));
+    cr_assert(!follower.offer({sheet_version(4), log_offset(8), "four"}));
+    log.set_down(true);
+    cr_assert(eventually([&] { return reported("log_unavailable"); }));
+    log.rewind("config", log_offset(1));
+    log.set_down(false);
+    cr_assert(eventually([&] { return reported("log_backwards"); }));
+    for (int i = 1; i < 6; ++i)
+    {
+        log.append("config", encode_config_record(submit_of("n" + std::to_string(i), i)),
+                   timeout);
+    }
+    cr_assert(
+        eventually([&] { return follower.current()->version == sheet_version(6); }));
+    cr_assert(follower.current()->content == "content-n5");
+    follower.stop();
+    cr_assert(std::is_sorted(seen.begin(), seen.end()));
+    cr_assert_eq(seen.front(), 3, "a reader that catches up publishes no old version");
+}
+
+// Guards against a sheet that is dropped by retention while nobody changes it.
+Test(config, sheet_is_carried_past_retention)
+{
+    memory_log_service log;
+    log.set_retention(milliseconds(400));
+    log.append("config", encode_config_record(submit_of("a", 0)), timeout);
+    config_follower_options options = fast_options();
+    options.retention = milliseconds(400);
+    config_follower first(log, options, {});
+    config_follower second(log, options, {});
+    first.set_following(true);
+    second.set_following(true);
+    std::this_thread::sleep_for(milliseconds(1'000));
+    config_follower fresh(log, options, {});
+    fresh.set_following(true);
+    cr_assert(eventually([&] { return fresh.current().has_value(); }));
+    cr_assert(fresh.current()->version == sheet_version(1));
+    cr_assert(log.append_count() < 20, "one reader carries, not all: %zu appends",
+              log.append_count());
+}
+
+// Guards against a submit reported as not effective when an earlier try may be in the
+// log.
+Test(config, submit_to_a_log_that_is_down)
+{
+    memory_log_service log;
+    log.set_down(true);
+    config_follower_options options = fast_options();
+    options.submit_timeout = milliseconds(200);
+    config_follower follower(log, options, {});
+    cr_assert_throw(follower.submit("x", sheet_version(0), "a"), log_unavailable_error);
+    log.set_down(false);
+    log.set_append_faults([] { return fault::lost_append; });
+    cr_assert(std::holds_alternative<submit_not_seen>(
+        follower.submit("x", sheet_version(0), "a")));
+}
+
+// Guards against quarantine records that lose strikes, and contacts hidden by a bad
+// record.
+Test(config, quarantine_and_contacts)
+{
+    memory_log_service log;
+    log.append("quarantine", "garbage", timeout);
+    std::atomic<std::uint32_t> strikes{0};
+    follow_options options;
+    options.wait = milliseconds(50);
+    quarantine_follower follower(
+        log, options, [&](const quarantine_record& record) { strikes = record.strikes; });
+    follower.append({fingerprint(~std::uint64_t{0}), 2, incarnation(7), wall_clock_ms()},
+                    timeout);
+    cr_assert(eventually([&] { return strikes == 2; }));
+    quarantine_table table;
+    table.merge({fingerprint(1), 2, incarnation(7), 100});
+    cr_assert(!table.merge({fingerprint(1), 1, incarnation(6), 50}));
+    cr_assert(table.merge({fingerprint(1), 1, incarnation(8), 150}));
+    cr_assert_eq(table.current(200).at(0).strikes, 2);
+    cr_assert(table.current(200 + 25 * 3'600'000).empty());
+
+    const contact a{domain_name("a"), {"127.0.0.1", 1}};
+    const contact b{domain_name("b"), {"127.0.0.1", 2}};
+    write_contacts(log, {a, b}, timeout);
+    write_contacts(log, {{a.domain, {"127.0.0.1", 3}}}, timeout);
+    log.append("contacts", "garbage", timeout);
+    log.drop_before("quarantine", log_offset(1));
+    const std::vector<contact> latest = read_latest_contacts(log, timeout);
+    cr_assert_eq(latest.size(), 2);
+    cr_assert_eq(latest[0].gossip.port, 3);
+}
--- a/src/state/stream_follower.cpp
+++ b/src/state/stream_follower.cpp
@@ -98,10 +98,12 @@
 
 void stream_follower::back_off(const error& problem)
 {
-    if (backoff_ == milliseconds(0))
+    const bool backwards = dynamic_cast<const log_backwards_error*>(&problem) != nullptr;
+    if (backoff_ == milliseconds(0) || backwards != backwards_)
     {
         handlers_.fault(problem);
     }
+    backwards_ = backwards;
     backoff_ = std::clamp(backoff_ * 2, options_.min_backoff, options_.max_backoff);
     pause(backoff_);
 }
