--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -175,8 +175,8 @@
         result.log_service = reader.address("log_service");
     }
     constexpr std::int64_t year_ms = std::int64_t{365} * 24 * 3'600'000;
-    result.log_retention = milliseconds(reader.number(
-        "log_retention_ms", result.log_retention.count(), 1'000, year_ms));
+    result.log_retention = milliseconds(
+        reader.number("log_retention_ms", result.log_retention.count(), 1'000, year_ms));
     result.threads = static_cast<unsigned>(reader.number("threads", 2, 1, 64));
     result.drain_timeout =
         milliseconds(reader.number("drain_timeout_ms", 30'000, 0, 3'600'000));
--- a/src/codec/messages.cpp
+++ b/src/codec/messages.cpp
@@ -381,7 +381,8 @@
         m.lease = milliseconds(in.number<std::int64_t>());
         return m;
     }
-    case frame_type::strike: return strike_message{decode_quarantine_record(in.text())};
+    case frame_type::strike:
+        return strike_message{decode_quarantine_record(in.text())};
     default:
         throw codec_error(fmt::format("unknown message type {}", static_cast<int>(type)));
     }
--- a/src/codec/messages_test.cpp
+++ b/src/codec/messages_test.cpp
@@ -70,6 +70,22 @@
     cr_assert(decoded.levels.size() == 1 && decoded.levels[0].cut_fraction == 512);
 }
 
+// Guards against a crash or a cleared mark that is lost between nodes.
+Test(codec_messages, quarantine_record_round_trip)
+{
+    strike_message m;
+    m.record.request = fingerprint(~std::uint64_t{0});
+    m.record.crashes = {{incarnation(1), true}, {incarnation(~std::uint64_t{0}), false}};
+    m.record.cleared = {incarnation(1)};
+    m.record.last_attempt_wall_ms = 1'700'000'000'000;
+    const link_frame frame = decode_frame(encode_frame({1, m}));
+    const quarantine_record& decoded = std::get<strike_message>(frame.message).record;
+    cr_assert(decoded.request == m.record.request);
+    cr_assert(decoded.crashes == m.record.crashes);
+    cr_assert(decoded.cleared == m.record.cleared);
+    cr_assert(decoded.last_attempt_wall_ms == m.record.last_attempt_wall_ms);
+}
+
 // Guards against a half frame that is taken for a whole one.
 Test(codec_messages, every_truncation_is_rejected)
 {
--- a/src/codec/quarantine_record.cpp
+++ b/src/codec/quarantine_record.cpp
@@ -49,7 +49,8 @@
     {
         cleared.push_back(server.get());
     }
-    const json fields{record.request.get(), crashes, cleared, record.last_attempt_wall_ms};
+    const json fields{record.request.get(), crashes, cleared,
+                      record.last_attempt_wall_ms};
     std::string bytes;
     json::to_cbor(fields, bytes);
     return bytes;
--- a/src/fescueridge/fleet_commands.cpp
+++ b/src/fescueridge/fleet_commands.cpp
@@ -58,7 +58,7 @@
     fmt::print("node {} ({}): failure domain {}, region {}, sheet version {}, {}\n",
                view.node, to_string(address), view.domain, view.region, view.version,
                view.ready ? "ready" : "not ready");
-    const server_view& server = view.server;
+    const server_status& server = view.server;
     fmt::print("  server: {} {}, slots {}, limit {}, running {}, queued {}\n",
                server.service.empty() ? "-" : server.service, server.state, server.slots,
                server.limit, server.running, server.queued);
@@ -230,7 +230,7 @@
     }
     fmt::print("{:<20} {:<12} {:<12} {:<24} {:<9} {:<9} {:>6} {:>8}\n", "node", "domain",
                "region", "service", "server", "liveness", "slots", "version");
-    for (const member_view& member : view.members)
+    for (const member_status& member : view.members)
     {
         fmt::print("{:<20} {:<12} {:<12} {:<24} {:<9} {:<9} {:>6} {:>8}\n", member.node,
                    member.domain, member.region, member.service, member.state,
--- a/src/fescueridged/main.cpp
+++ b/src/fescueridged/main.cpp
@@ -36,11 +36,13 @@
     const sigset_t signals = block_stop_signals();
     std::signal(SIGPIPE, SIG_IGN);
     fescueridge::node node(fescueridge::load_settings(settings_file));
-    std::thread waiter([&] {
-        int received = 0;
-        sigwait(&signals, &received);
-        node.request_stop();
-    });
+    std::thread waiter(
+        [&]
+        {
+            int received = 0;
+            sigwait(&signals, &received);
+            node.request_stop();
+        });
     node.run();
     waiter.join();
     return exit_ok;
--- a/src/include/fescueridge/base/server_state.hpp
+++ b/src/include/fescueridge/base/server_state.hpp
@@ -3,7 +3,8 @@
 #include <cstdint>
 #include <string_view>
 
-namespace fescueridge {
+namespace fescueridge
+{
 
 /// State of a backend server, as its node announces it.
 enum class server_state : std::uint8_t
--- a/src/include/fescueridge/base/stopwatch.hpp
+++ b/src/include/fescueridge/base/stopwatch.hpp
@@ -2,7 +2,8 @@
 
 #include <chrono>
 
-namespace fescueridge {
+namespace fescueridge
+{
 
 /// Measures how long something took, in microseconds: the millisecond clock is too coarse
 /// for the service time of a fast call. Starts when it is made.
--- a/src/include/fescueridge/node/call_context.hpp
+++ b/src/include/fescueridge/node/call_context.hpp
@@ -15,7 +15,8 @@
 #include "fescueridge/codec/messages.hpp"
 #include "fescueridge/overload/retry.hpp"
 
-namespace fescueridge {
+namespace fescueridge
+{
 
 /// Sums up the time during which at least one downstream call is under way, so that the
 /// service time of a backend server can be told from its waiting for others. Thread safe.
@@ -64,8 +65,8 @@
     /// Returns the levels of all services touched so far.
     std::vector<admission_level> levels() const;
 
-    /// Records that a downstream call was refused for overload, so that the failure of this
-    /// call is not retried: a retry would meet the same refusal.
+    /// Records that a downstream call was refused for overload, so that the failure of
+    /// this call is not retried: a retry would meet the same refusal.
     void note_overload() noexcept { saw_overload_ = true; }
     bool saw_overload() const noexcept { return saw_overload_; }
 
--- a/src/include/fescueridge/node/call_ports.hpp
+++ b/src/include/fescueridge/node/call_ports.hpp
@@ -16,7 +16,8 @@
 #include "fescueridge/overload/retry.hpp"
 #include "fescueridge/transport/http_server.hpp"
 
-namespace fescueridge {
+namespace fescueridge
+{
 
 /// What a request line and its headers say about a call.
 struct parsed_call
--- a/src/include/fescueridge/node/call_router.hpp
+++ b/src/include/fescueridge/node/call_router.hpp
@@ -18,11 +18,13 @@
 #include "fescueridge/overload/retry.hpp"
 #include "fescueridge/transport/link_hub.hpp"
 
-namespace asio {
+namespace asio
+{
 class io_context;
 }
 
-namespace fescueridge {
+namespace fescueridge
+{
 
 /// A call to send to some backend server of a service, made for a root request or for a
 /// call that runs on the own backend server.
@@ -54,7 +56,8 @@
     virtual void cancel(const call_id& id) = 0;
 };
 
-namespace detail {
+namespace detail
+{
 class outbound_call;
 struct router_state;
 } // namespace detail
@@ -86,8 +89,8 @@
     call_router(const call_router&) = delete;
     call_router& operator=(const call_router&) = delete;
 
-    /// Sends a call. `done` is called exactly once, possibly before this returns. The call
-    /// is cancelled when its parent ends.
+    /// Sends a call. `done` is called exactly once, possibly before this returns. The
+    /// call is cancelled when its parent ends.
     void send(outbound_request request, reply_callback done);
 
     /// Takes the reply to a call that was sent over a link. Replies to calls that have
--- a/src/include/fescueridge/node/limit_control.hpp
+++ b/src/include/fescueridge/node/limit_control.hpp
@@ -11,7 +11,8 @@
 #include "fescueridge/node/sheet_holder.hpp"
 #include "fescueridge/overload/limits.hpp"
 
-namespace fescueridge {
+namespace fescueridge
+{
 
 /// Enforces the limits of the sheet together with the other nodes: reports demand to the
 /// share holder of each row, and is the share holder of the rows that rendezvous hashing
--- a/src/include/fescueridge/node/operator_port.hpp
+++ b/src/include/fescueridge/node/operator_port.hpp
@@ -10,7 +10,8 @@
 #include "fescueridge/node/server_executor.hpp"
 #include "fescueridge/sheet/operator_api.hpp"
 
-namespace fescueridge {
+namespace fescueridge
+{
 
 /// What the operator port asks of its node. The functions are called from the port's own
 /// threads.
--- a/src/include/fescueridge/node/peer_table.hpp
+++ b/src/include/fescueridge/node/peer_table.hpp
@@ -15,7 +15,8 @@
 #include "fescueridge/routing/balancer.hpp"
 #include "fescueridge/transport/link_hub.hpp"
 
-namespace fescueridge {
+namespace fescueridge
+{
 
 /// The other nodes as this node sees them: their records, the balancer of each service,
 /// and the links to them. Thread safe.
--- a/src/include/fescueridge/node/quarantine_sync.hpp
+++ b/src/include/fescueridge/node/quarantine_sync.hpp
@@ -22,12 +22,14 @@
     using sender = std::function<void(const node_id&, link_message)>;
 
     /// `log` may be null: then records travel over links only.
-    quarantine_sync(log_service* log, suspicion_table& suspicions, const peer_table& peers,
-                    background_worker& worker, event_log& events, sender send);
+    quarantine_sync(log_service* log, suspicion_table& suspicions,
+                    const peer_table& peers, background_worker& worker, event_log& events,
+                    sender send);
     ~quarantine_sync();
 
     /// Passes on records that changed at this node.
-    void publish(const service_name& service, const std::vector<quarantine_record>& records);
+    void publish(const service_name& service,
+                 const std::vector<quarantine_record>& records);
 
     /// Takes a record of another node.
     void on_strike(const strike_message& strike);
--- a/src/include/fescueridge/node/refusals.hpp
+++ b/src/include/fescueridge/node/refusals.hpp
@@ -7,7 +7,8 @@
 #include "fescueridge/codec/messages.hpp"
 #include "fescueridge/node/sheet_holder.hpp"
 
-namespace fescueridge {
+namespace fescueridge
+{
 
 /// Who called what; the part of a call that an explanation needs.
 struct refused_call
--- a/src/include/fescueridge/node/server_executor.hpp
+++ b/src/include/fescueridge/node/server_executor.hpp
@@ -17,11 +17,13 @@
 #include "fescueridge/overload/quarantine.hpp"
 #include "fescueridge/state/claim_client.hpp"
 
-namespace asio {
+namespace asio
+{
 class io_context;
 }
 
-namespace fescueridge {
+namespace fescueridge
+{
 
 /// What a backend server says about itself.
 struct server_announcement
@@ -50,7 +52,8 @@
     std::uint32_t queued = 0;
 };
 
-namespace detail {
+namespace detail
+{
 class executor_core;
 }
 
--- a/src/include/fescueridge/node/server_monitor.hpp
+++ b/src/include/fescueridge/node/server_monitor.hpp
@@ -21,8 +21,9 @@
     /// second.
     static constexpr milliseconds heartbeat_timeout{3000};
 
-    server_monitor(server_executor& executor, event_log& events,
-                   std::function<void(const std::function<void(member_record&)>&)> spread);
+    server_monitor(
+        server_executor& executor, event_log& events,
+        std::function<void(const std::function<void(member_record&)>&)> spread);
 
     /// Takes an announcement or heartbeat of the server.
     void announce(const server_announcement& server);
--- a/src/include/fescueridge/node/sheet_holder.hpp
+++ b/src/include/fescueridge/node/sheet_holder.hpp
@@ -6,7 +6,8 @@
 #include "fescueridge/base/types.hpp"
 #include "fescueridge/sheet/sheet.hpp"
 
-namespace fescueridge {
+namespace fescueridge
+{
 
 /// The sheet in force with its version and the log offset that decided it.
 struct sheet_snapshot
--- a/src/include/fescueridge/node/sheet_sync.hpp
+++ b/src/include/fescueridge/node/sheet_sync.hpp
@@ -10,7 +10,8 @@
 #include "fescueridge/node/sheet_holder.hpp"
 #include "fescueridge/state/config_follower.hpp"
 
-namespace fescueridge {
+namespace fescueridge
+{
 
 /// Keeps the sheet in force up to date from the log and from peers, and decides when a
 /// fresh node may serve. Thread safe.
@@ -23,7 +24,8 @@
     /// new version is in force.
     sheet_sync(const node_id& self, const domain_name& domain, log_service* log,
                milliseconds log_retention, peer_table& peers, sheet_holder& sheets,
-               event_log& events, sender send, std::function<void(sheet_version)> on_change);
+               event_log& events, sender send,
+               std::function<void(sheet_version)> on_change);
     ~sheet_sync();
 
     /// Chooses whether this node reads the log, and pulls a newer sheet from a peer that
--- a/src/include/fescueridge/state/config_follower.hpp
+++ b/src/include/fescueridge/state/config_follower.hpp
@@ -68,8 +68,8 @@
     /// back and by appending again under the same id. submit_not_seen means unknown: the
     /// submit may still take effect. Throws log_unavailable_error if it certainly has
     /// none.
-    submit_result submit(const std::string& content, sheet_version base,
-                         const std::string& author);
+    submit_decision submit(const std::string& content, sheet_version base,
+                           const std::string& author);
 
     /// Ends the threads.
     void stop();
--- a/src/include/fescueridge/state/config_state.hpp
+++ b/src/include/fescueridge/state/config_state.hpp
@@ -58,7 +58,7 @@
 {
 };
 
-using submit_result = std::variant<submit_not_seen, submit_accepted, submit_lost>;
+using submit_decision = std::variant<submit_not_seen, submit_accepted, submit_lost>;
 
 /// State of the sheet after a prefix of the stream. Everyone who replays the same records
 /// from offset 0 or from any verified carry has the same version and content.
@@ -78,7 +78,7 @@
     const std::string& content() const noexcept { return content_; }
 
     /// Returns the first decision on a submit id.
-    submit_result result(const std::string& submit_id) const;
+    submit_decision result(const std::string& submit_id) const;
 
 private:
     struct winner
@@ -94,7 +94,7 @@
     sheet_version version_{0};
     std::string content_;
     std::map<std::uint64_t, winner> winners_;
-    std::map<std::string, submit_result> results_;
+    std::map<std::string, submit_decision> results_;
     std::deque<std::string> result_order_;
 };
 
--- a/src/node/call_context.cpp
+++ b/src/node/call_context.cpp
@@ -3,7 +3,8 @@
 #include <algorithm>
 #include <fmt/format.h>
 
-namespace fescueridge {
+namespace fescueridge
+{
 
 void downstream_time::begin()
 {
@@ -29,16 +30,18 @@
     return active_ == 0 ? finished_ : finished_ + running_.elapsed();
 }
 
-call_context::call_context(root_id root_value, caller_name caller_value, priority rank_value,
-                           time_point deadline_value, retry_allowance allowance_value)
+call_context::call_context(root_id root_value, caller_name caller_value,
+                           priority rank_value, time_point deadline_value,
+                           retry_allowance allowance_value)
     : root(std::move(root_value)), caller(std::move(caller_value)), rank(rank_value),
       deadline(deadline_value), depth(0), attempt(1), allowance(allowance_value)
 {
 }
 
 call_context::call_context(const call_message& call, time_point now)
-    : root(call.root), caller(call.caller), rank(call.rank), deadline(now + call.time_left),
-      depth(call.depth), attempt(call.attempt), key(call.key), allowance(call.allowance)
+    : root(call.root), caller(call.caller), rank(call.rank),
+      deadline(now + call.time_left), depth(call.depth), attempt(call.attempt),
+      key(call.key), allowance(call.allowance)
 {
 }
 
@@ -47,7 +50,8 @@
     const std::lock_guard lock(mutex_);
     for (const admission_level& level : levels)
     {
-        const auto same_service = [&](const admission_level& known) {
+        const auto same_service = [&](const admission_level& known)
+        {
             return known.service == level.service;
         };
         const auto found = std::find_if(levels_.begin(), levels_.end(), same_service);
--- a/src/node/call_ports.cpp
+++ b/src/node/call_ports.cpp
@@ -4,9 +4,11 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-namespace fescueridge {
+namespace fescueridge
+{
 
-namespace {
+namespace
+{
 
 constexpr std::string_view call_prefix = "/call/";
 constexpr milliseconds max_timeout{3'600'000};
@@ -45,10 +47,9 @@
         throw bad_request_error("the path must be /call/<service>/<path>");
     }
     const std::size_t end = target.find_first_of("/?", call_prefix.size());
-    const std::string service =
-        target.substr(call_prefix.size(), end == std::string::npos
-                                              ? std::string::npos
-                                              : end - call_prefix.size());
+    const std::string service = target.substr(
+        call_prefix.size(),
+        end == std::string::npos ? std::string::npos : end - call_prefix.size());
     call.service = service_name(limited_name("the service", service));
     call.path = end == std::string::npos ? "/" : target.substr(end);
     if (call.path.front() != '/')
@@ -65,8 +66,8 @@
     }
     if (const auto* text = find_header(headers, "Fescue-Timeout-Ms"))
     {
-        call.timeout = milliseconds(
-            parse_number<std::int64_t>("Fescue-Timeout-Ms", *text, 1, max_timeout.count()));
+        call.timeout = milliseconds(parse_number<std::int64_t>("Fescue-Timeout-Ms", *text,
+                                                               1, max_timeout.count()));
     }
     if (const auto* text = find_header(headers, "Fescue-Root"))
     {
@@ -89,8 +90,9 @@
     std::vector<header_field> result;
     for (const header_field& header : headers)
     {
-        const bool ours = header.name.size() > 7 && (header.name.compare(0, 7, "Fescue-") == 0 ||
-                                                     header.name.compare(0, 7, "fescue-") == 0);
+        const bool ours =
+            header.name.size() > 7 && (header.name.compare(0, 7, "Fescue-") == 0 ||
+                                       header.name.compare(0, 7, "fescue-") == 0);
         if (!ours && !is_hop_header(header.name) && header.name != "Idempotency-Key")
         {
             result.push_back(header);
@@ -225,8 +227,8 @@
         return false;
     }
     const root_decision pressure =
-        parts_.pressure.decide(root_fraction(entry.root), entry.rank(), entry.call.service,
-                               entry.call.path, clock::now());
+        parts_.pressure.decide(root_fraction(entry.root), entry.rank(),
+                               entry.call.service, entry.call.path, clock::now());
     if (const auto* refused = std::get_if<root_refused>(&pressure))
     {
         refuse(exchange, entry,
@@ -264,7 +266,8 @@
     return true;
 }
 
-void call_ports::start_root(const std::shared_ptr<entry_call>& entry, http_request request,
+void call_ports::start_root(const std::shared_ptr<entry_call>& entry,
+                            http_request request,
                             const std::shared_ptr<http_exchange>& exchange)
 {
     const milliseconds longest = entry->decided->timeout.value_or(entry->call.timeout);
@@ -277,17 +280,18 @@
     outbound_request outbound;
     outbound.parent = entry->context;
     outbound.service = entry->call.service;
-    outbound.idempotent =
-        is_safe_method(request.method) && !entry->decided->at_most_once;
+    outbound.idempotent = is_safe_method(request.method) && !entry->decided->at_most_once;
     outbound.key = entry->call.key;
     outbound.method = std::move(request.method);
     outbound.path = entry->call.path;
     outbound.headers = forwarded_headers(request.headers);
     outbound.body = std::move(request.body);
-    parts_.router.send(std::move(outbound), [this, entry, exchange](reply_message reply) {
-        end_root(*entry, reply);
-        answer(*exchange, entry->root, reply);
-    });
+    parts_.router.send(std::move(outbound),
+                       [this, entry, exchange](reply_message reply)
+                       {
+                           end_root(*entry, reply);
+                           answer(*exchange, entry->root, reply);
+                       });
 }
 
 void call_ports::end_root(const entry_call& entry, const reply_message& reply)
@@ -324,8 +328,8 @@
     }
     entry.root = parent->root;
     entry.call.caller = parent->caller;
-    entry.decided = entry.sheet ? entry.sheet->rules->find(call.service.get(),
-                                                           parent->caller.get(), call.path)
+    entry.decided = entry.sheet ? entry.sheet->rules->find(
+                                      call.service.get(), parent->caller.get(), call.path)
                                 : nullptr;
     if (parent->depth >= max_call_depth)
     {
@@ -340,17 +344,15 @@
     outbound_request outbound;
     outbound.parent = parent;
     outbound.service = call.service;
-    outbound.idempotent =
-        is_safe_method(request.method) && !entry.decided->at_most_once;
+    outbound.idempotent = is_safe_method(request.method) && !entry.decided->at_most_once;
     outbound.key = call.key ? call.key : parent->key;
     outbound.method = std::move(request.method);
     outbound.path = call.path;
     outbound.headers = forwarded_headers(request.headers);
     outbound.body = std::move(request.body);
     parts_.router.send(std::move(outbound),
-                       [this, exchange, root = parent->root](const reply_message& reply) {
-                           answer(*exchange, root, reply);
-                       });
+                       [this, exchange, root = parent->root](const reply_message& reply)
+                       { answer(*exchange, root, reply); });
 }
 
 void call_ports::answer(http_exchange& exchange, const root_id& root,
@@ -361,12 +363,12 @@
 }
 
 void call_ports::refuse(http_exchange& exchange, const entry_call& entry,
-                        refusal_reason reason, const std::optional<admission_level>& level)
+                        refusal_reason reason,
+                        const std::optional<admission_level>& level)
 {
-    const reply_message reply =
-        parts_.refusals.make({call_id(), entry.call.caller, entry.call.service,
-                              entry.rank(), entry.call.path},
-                             reason, outcome::not_run, level);
+    const reply_message reply = parts_.refusals.make(
+        {call_id(), entry.call.caller, entry.call.service, entry.rank(), entry.call.path},
+        reason, outcome::not_run, level);
     answer(exchange, entry.root, reply);
 }
 
@@ -374,10 +376,18 @@
 {
     switch (result)
     {
-    case outcome::ok: ++counts_.ok; break;
-    case outcome::not_run: ++counts_.not_run; break;
-    case outcome::unknown: ++counts_.unknown; break;
-    case outcome::failed: ++counts_.failed; break;
+    case outcome::ok:
+        ++counts_.ok;
+        break;
+    case outcome::not_run:
+        ++counts_.not_run;
+        break;
+    case outcome::unknown:
+        ++counts_.unknown;
+        break;
+    case outcome::failed:
+        ++counts_.failed;
+        break;
     }
 }
 
--- a/src/node/executor_core.cpp
+++ b/src/node/executor_core.cpp
@@ -4,9 +4,11 @@
 #include <asio/ip/tcp.hpp>
 #include <fmt/format.h>
 
-namespace fescueridge::detail {
+namespace fescueridge::detail
+{
 
-namespace {
+namespace
+{
 
 fingerprint fingerprint_of(const call_message& call)
 {
@@ -31,12 +33,17 @@
     switch (failure.kind)
     {
     case http_failure_kind::timed_out:
-    case http_failure_kind::no_connection: return refusal_reason::deadline;
-    case http_failure_kind::cancelled: return refusal_reason::cancelled;
+    case http_failure_kind::no_connection:
+        return refusal_reason::deadline;
+    case http_failure_kind::cancelled:
+        return refusal_reason::cancelled;
     case http_failure_kind::connect_failed:
-    case http_failure_kind::not_sent: return refusal_reason::server_gone;
-    case http_failure_kind::too_large: return refusal_reason::too_large;
-    default: return refusal_reason::server_failed;
+    case http_failure_kind::not_sent:
+        return refusal_reason::server_gone;
+    case http_failure_kind::too_large:
+        return refusal_reason::too_large;
+    default:
+        return refusal_reason::server_failed;
     }
 }
 
@@ -149,7 +156,8 @@
         refuse(work, refusal_reason::log_unavailable, outcome::not_run);
         return;
     }
-    const auto on_decision = [self = shared_from_this(), work](const claim_result& result) {
+    const auto on_decision = [self = shared_from_this(), work](const claim_result& result)
+    {
         if (std::holds_alternative<claim_won>(result))
         {
             self->enqueue(work);
@@ -268,7 +276,8 @@
         work->at_server.emplace(); // from here on the call may run
     }
     ports_.calls.insert(work->call.id, work->context);
-    const auto on_done = [self = shared_from_this(), work](http_result result) {
+    const auto on_done = [self = shared_from_this(), work](http_result result)
+    {
         self->on_result(work, std::move(result));
     };
     http_call_handle handle =
@@ -344,10 +353,10 @@
     reply.body = std::move(response.body);
     if (!success)
     {
-        const reply_message explained = ports_.refusals.make(
-            {work->call.id, work->call.caller, work->call.service, work->call.rank,
-             work->call.path},
-            *reply.reason, reply.result);
+        const reply_message explained =
+            ports_.refusals.make({work->call.id, work->call.caller, work->call.service,
+                                  work->call.rank, work->call.path},
+                                 *reply.reason, reply.result);
         reply.refusal_token = explained.refusal_token;
     }
     finish(work, std::move(reply));
@@ -399,10 +408,9 @@
     auto socket = std::make_shared<asio::ip::tcp::socket>(ports_.io);
     const asio::ip::tcp::endpoint address(asio::ip::make_address(target->address),
                                           target->port);
-    socket->async_connect(address, [self = shared_from_this(),
-                                    socket](const asio::error_code& error) {
-        self->on_probe(!error);
-    });
+    socket->async_connect(
+        address, [self = shared_from_this(), socket](const asio::error_code& error)
+        { self->on_probe(!error); });
 }
 
 std::vector<cut_call> executor_core::take_cut_calls()
@@ -455,9 +463,9 @@
         return;
     }
     const bool alone = running.size() == 1 && running.front()->alone;
-    ports_.events.record("server_died_with_calls",
-                         {{"calls", static_cast<std::int64_t>(running.size())},
-                          {"alone", alone}});
+    ports_.events.record(
+        "server_died_with_calls",
+        {{"calls", static_cast<std::int64_t>(running.size())}, {"alone", alone}});
     ports_.on_suspicion(
         ports_.suspicions.on_server_death(requests, server, alone, wall_clock_ms()));
 }
@@ -465,10 +473,10 @@
 void executor_core::refuse(const job_ptr& work, refusal_reason reason, outcome result)
 {
     const auto own_level = reason == refusal_reason::overload ? level() : std::nullopt;
-    finish(work, ports_.refusals.make({work->call.id, work->call.caller,
-                                       work->call.service, work->call.rank,
-                                       work->call.path},
-                                      reason, result, own_level));
+    finish(work,
+           ports_.refusals.make({work->call.id, work->call.caller, work->call.service,
+                                 work->call.rank, work->call.path},
+                                reason, result, own_level));
 }
 
 void executor_core::finish(const job_ptr& work, reply_message reply)
--- a/src/node/executor_core.hpp
+++ b/src/node/executor_core.hpp
@@ -10,7 +10,8 @@
 #include "fescueridge/overload/pressure.hpp"
 #include "fescueridge/transport/http_client_pool.hpp"
 
-namespace fescueridge::detail {
+namespace fescueridge::detail
+{
 
 /// One call on its way through the executor.
 struct job
--- a/src/node/limit_control.cpp
+++ b/src/node/limit_control.cpp
@@ -4,7 +4,8 @@
 
 #include "fescueridge/overload/rendezvous.hpp"
 
-namespace fescueridge {
+namespace fescueridge
+{
 
 limit_control::limit_control(node_id self, domain_name domain, const peer_table& peers,
                              const sheet_holder& sheets, sender send)
@@ -28,8 +29,8 @@
 
 node_id limit_control::holder_of(std::uint32_t row, const domain_name& domain) const
 {
-    const auto chosen = choose_by_rendezvous(fmt::format("limit:{}", row),
-                                             peers_.live_nodes(domain), 1);
+    const auto chosen =
+        choose_by_rendezvous(fmt::format("limit:{}", row), peers_.live_nodes(domain), 1);
     return chosen.empty() ? node_id() : chosen.front();
 }
 
@@ -50,7 +51,8 @@
     return &held_.try_emplace(row, row, domain_, *decided->limit, domains).first->second;
 }
 
-void limit_control::record_report(const node_id& from, const demand_report_message& report)
+void limit_control::record_report(const node_id& from,
+                                  const demand_report_message& report)
 {
     const std::lock_guard lock(mutex_);
     share_holder* holder = holder_for(report.row);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -49,20 +49,21 @@
       work_(asio::make_work_guard(io_)), log_(make_log(settings)),
       refusals_(settings.node, settings.domain, sheets_), ids_(settings.node, number_),
       peers_(settings.node, settings.domain), executor_(make_executor_ports()),
-      monitor_(executor_, events_,
-               [this](const auto& edit) { update_own_record(edit); }),
+      monitor_(executor_, events_, [this](const auto& edit) { update_own_record(edit); }),
       router_(make_router_ports()),
       limits_(settings.node, settings.domain, peers_, sheets_,
-              [this](const node_id& to, link_message message) {
-                  send(to, std::move(message));
-              }),
+              [this](const node_id& to, link_message message)
+              { send(to, std::move(message)); }),
       ports_(make_call_port_parts())
 {
-    const auto sender = [this](const node_id& to, link_message message) {
+    const auto sender = [this](const node_id& to, link_message message)
+    {
         send(to, std::move(message));
     };
-    const auto hello = [this] {
-        return hello_message{settings_.node, number_, settings_.domain, sheets_.version()};
+    const auto hello = [this]
+    {
+        return hello_message{settings_.node, number_, settings_.domain,
+                             sheets_.version()};
     };
     hub_ = std::make_unique<link_hub>(io_, settings_.listen_link, hello, events_,
                                       make_link_callbacks());
@@ -70,40 +71,43 @@
     gossip_ = std::make_unique<gossip_udp>(
         io_, make_own_record(), settings_.contacts,
         gossip_callbacks{[this](const auto& changes) { on_member_changes(changes); },
-                         [this](const endpoint& from, const std::string& reason) {
-                             events_.record("gossip_malformed", {{"from", to_string(from)},
-                                                                 {"reason", reason}});
+                         [this](const endpoint& from, const std::string& reason)
+                         {
+                             events_.record(
+                                 "gossip_malformed",
+                                 {{"from", to_string(from)}, {"reason", reason}});
                          }});
     refresh_peers();
-    quarantine_ = std::make_unique<quarantine_sync>(log_.get(), suspicions_, peers_, worker_,
-                                                    events_, sender);
+    quarantine_ = std::make_unique<quarantine_sync>(log_.get(), suspicions_, peers_,
+                                                    worker_, events_, sender);
     sheet_sync_ = std::make_unique<sheet_sync>(
         settings_.node, settings_.domain, log_.get(), settings_.log_retention, peers_,
-        sheets_, events_, sender, [this](sheet_version version) {
+        sheets_, events_, sender,
+        [this](sheet_version version)
+        {
             limits_.clear();
             update_own_record([&](member_record& record) { record.sheet = version; });
             update_claims();
         });
     http_server_options options;
-    options.on_fault = [this](const http_fault& fault) {
+    options.on_fault = [this](const http_fault& fault)
+    {
         events_.record("http_fault", {{"kind", std::string(to_string(fault.kind))},
                                       {"peer", to_string(fault.peer)},
                                       {"detail", fault.detail}});
     };
     caller_server_ = std::make_unique<http_server>(
         io_, settings_.listen_caller,
-        [this](http_request request, std::shared_ptr<http_exchange> exchange) {
-            ports_.on_caller_request(std::move(request), std::move(exchange));
-        },
+        [this](http_request request, std::shared_ptr<http_exchange> exchange)
+        { ports_.on_caller_request(std::move(request), std::move(exchange)); },
         options);
     server_server_ = std::make_unique<http_server>(
         io_, settings_.listen_server,
-        [this](http_request request, std::shared_ptr<http_exchange> exchange) {
-            ports_.on_server_request(std::move(request), std::move(exchange));
-        },
+        [this](http_request request, std::shared_ptr<http_exchange> exchange)
+        { ports_.on_server_request(std::move(request), std::move(exchange)); },
         options);
-    operator_ =
-        std::make_unique<operator_port>(settings_.listen_operator, make_operator_functions());
+    operator_ = std::make_unique<operator_port>(settings_.listen_operator,
+                                                make_operator_functions());
 }
 
 node::impl::~impl()
@@ -119,13 +123,17 @@
                           calls_,
                           suspicions_,
                           events_,
-                          [this](const std::vector<quarantine_record>& records) {
+                          [this](const std::vector<quarantine_record>& records)
+                          {
                               if (const auto server = monitor_.server())
                               {
                                   quarantine_->publish(server->service, records);
                               }
                           },
-                          [this] { monitor_.on_death(); }};
+                          [this]
+                          {
+                              monitor_.on_death();
+                          }};
 }
 
 router_ports node::impl::make_router_ports()
@@ -136,8 +144,17 @@
 
 call_port_parts node::impl::make_call_port_parts()
 {
-    return call_port_parts{sheets_, refusals_, router_, calls_,  pressure_,
-                           ledger_, limits_,   ids_,    events_, [this] {
+    return call_port_parts{sheets_,
+                           refusals_,
+                           router_,
+                           calls_,
+                           pressure_,
+                           ledger_,
+                           limits_,
+                           ids_,
+                           events_,
+                           [this]
+                           {
                                return reason_to_refuse();
                            }};
 }
@@ -175,18 +192,21 @@
     periodic_timer::start(io_, level_interval, [this] { executor_.update_level(); });
     periodic_timer::start(io_, sheet_interval, [this] { sheet_sync_->tick(); });
     periodic_timer::start(io_, redial_interval, [this] { peers_.redial(); });
-    periodic_timer::start(io_, demand_report_interval, [this] { limits_.report_demand(); });
+    periodic_timer::start(io_, demand_report_interval,
+                          [this] { limits_.report_demand(); });
     periodic_timer::start(io_, domain_exchange_interval,
                           [this] { limits_.exchange_domains(); });
     periodic_timer::start(io_, second, [this] { every_second(); });
     periodic_timer::start(io_, contacts_interval, [this] { write_contacts_if_chosen(); });
     auto first = std::make_shared<asio::steady_timer>(io_, first_contacts_delay);
-    first->async_wait([this, first](const asio::error_code& problem) {
-        if (!problem)
+    first->async_wait(
+        [this, first](const asio::error_code& problem)
         {
-            write_contacts_if_chosen();
-        }
-    });
+            if (!problem)
+            {
+                write_contacts_if_chosen();
+            }
+        });
 }
 
 void node::impl::every_second()
@@ -208,9 +228,10 @@
         return;
     }
     const auto& rules = snapshot->rules->rules();
-    const bool needed = std::any_of(rules.begin(), rules.end(), [&](const rule& entry) {
-        return entry.at_most_once && entry.service == server->service;
-    });
+    const bool needed =
+        std::any_of(rules.begin(), rules.end(),
+                    [&](const rule& entry)
+                    { return entry.at_most_once && entry.service == server->service; });
     const auto remember =
         milliseconds(std::chrono::hours(24) * snapshot->rules->settings().remember_days);
     const std::lock_guard lock(claims_mutex_);
@@ -229,7 +250,8 @@
     options.remember = remember;
     options.retention = settings_.log_retention;
     claims_ = std::make_shared<claim_client>(
-        *log_, options, [this](const std::string& name, const std::string& reason) {
+        *log_, options,
+        [this](const std::string& name, const std::string& reason) {
             events_.record(name, {{"reason", reason}});
         });
     executor_.use_claims(claims_);
@@ -251,22 +273,25 @@
     std::vector<contact> contacts;
     for (const fescueridge::member_view& member : peers_.members())
     {
-        if (member.record.domain == settings_.domain && member.status == liveness::alive &&
-            contacts.size() < contacts_per_record)
+        if (member.record.domain == settings_.domain &&
+            member.status == liveness::alive && contacts.size() < contacts_per_record)
         {
             contacts.push_back({member.record.domain, member.record.gossip});
         }
     }
-    worker_.post([this, contacts] {
-        try
+    worker_.post(
+        [this, contacts]
         {
-            write_contacts(*log_, contacts, log_timeout);
-        }
-        catch (const error& problem)
-        {
-            events_.record("contacts_not_written", {{"reason", std::string(problem.what())}});
-        }
-    });
+            try
+            {
+                write_contacts(*log_, contacts, log_timeout);
+            }
+            catch (const error& problem)
+            {
+                events_.record("contacts_not_written",
+                               {{"reason", std::string(problem.what())}});
+            }
+        });
 }
 
 void node::impl::learn_contacts()
@@ -275,21 +300,24 @@
     {
         return;
     }
-    worker_.post([this] {
-        try
+    worker_.post(
+        [this]
         {
-            std::vector<endpoint> addresses;
-            for (const contact& known : read_latest_contacts(*log_, log_timeout))
+            try
             {
-                addresses.push_back(known.gossip);
+                std::vector<endpoint> addresses;
+                for (const contact& known : read_latest_contacts(*log_, log_timeout))
+                {
+                    addresses.push_back(known.gossip);
+                }
+                gossip_->add_contacts(addresses);
             }
-            gossip_->add_contacts(addresses);
-        }
-        catch (const error& problem)
-        {
-            events_.record("contacts_not_read", {{"reason", std::string(problem.what())}});
-        }
-    });
+            catch (const error& problem)
+            {
+                events_.record("contacts_not_read",
+                               {{"reason", std::string(problem.what())}});
+            }
+        });
 }
 
 void node::impl::update_own_record(const std::function<void(member_record&)>& edit)
--- a/src/node/node_links.cpp
+++ b/src/node/node_links.cpp
@@ -8,15 +8,21 @@
 link_callbacks node::impl::make_link_callbacks()
 {
     link_callbacks callbacks;
-    callbacks.on_open = [this](const link_ptr& opened, const hello_message& hello) {
+    callbacks.on_open = [this](const link_ptr& opened, const hello_message& hello)
+    {
         peers_.on_link_open(opened->peer().node);
         sheet_sync_->on_peer_version(hello.node, hello.version);
     };
-    callbacks.on_message = [this](const link_ptr& from, link_message message) {
+    callbacks.on_message = [this](const link_ptr& from, link_message message)
+    {
         on_message(from, std::move(message));
     };
-    callbacks.on_close = [this](const link_ptr& closed) { on_link_closed(closed); };
-    callbacks.on_fault = [this](const link_fault& fault) {
+    callbacks.on_close = [this](const link_ptr& closed)
+    {
+        on_link_closed(closed);
+    };
+    callbacks.on_fault = [this](const link_fault& fault)
+    {
         events_.record("link_fault", {{"kind", std::string(to_string(fault.kind))},
                                       {"remote", to_string(fault.remote)},
                                       {"detail", fault.detail}});
@@ -26,27 +32,32 @@
 
 void node::impl::send(const node_id& to, link_message message)
 {
-    peers_.with_link(to, [message = std::move(message)](const link_ptr& open) {
-        if (open)
-        {
-            open->send(message);
-        }
-    });
+    peers_.with_link(to,
+                     [message = std::move(message)](const link_ptr& open)
+                     {
+                         if (open)
+                         {
+                             open->send(message);
+                         }
+                     });
 }
 
 void node::impl::on_message(const link_ptr& from, link_message message)
 {
-    std::visit([&](auto&& content) { take(from, std::move(content)); }, std::move(message));
+    std::visit([&](auto&& content) { take(from, std::move(content)); },
+               std::move(message));
 }
 
 void node::impl::take(const link_ptr& from, call_message call)
 {
     const call_id id = call.id;
     inbound_.add(from, id);
-    executor_.execute(std::move(call), [this, from, id](const reply_message& reply) {
-        inbound_.remove(from, id);
-        from->send(reply);
-    });
+    executor_.execute(std::move(call),
+                      [this, from, id](const reply_message& reply)
+                      {
+                          inbound_.remove(from, id);
+                          from->send(reply);
+                      });
 }
 
 void node::impl::take(const link_ptr& /*from*/, reply_message reply)
--- a/src/node/node_operator.cpp
+++ b/src/node/node_operator.cpp
@@ -8,13 +8,53 @@
 namespace fescueridge
 {
 
+namespace
+{
+
+/// Writes the decision on a submit into the answer to the operator.
+struct decision_writer
+{
+    submit_result& result;
+
+    void operator()(const submit_not_seen&) const
+    {
+        result.status = submit_status::pending;
+    }
+
+    void operator()(const submit_accepted& accepted) const
+    {
+        result.status = submit_status::accepted;
+        result.version = accepted.version.get();
+    }
+
+    void operator()(const submit_lost& lost) const
+    {
+        result.status = submit_status::lost;
+        result.version = lost.version.get();
+        result.winner_author = lost.winner_author;
+        result.winner_submit = lost.winner_id;
+    }
+};
+
+} // namespace
+
 operator_functions node::impl::make_operator_functions()
 {
     operator_functions functions;
-    functions.status = [this] { return status(); };
-    functions.members = [this] { return members(); };
-    functions.pressure = [this] { return pressure(); };
-    functions.sheet = [this] {
+    functions.status = [this]
+    {
+        return status();
+    };
+    functions.members = [this]
+    {
+        return members();
+    };
+    functions.pressure = [this]
+    {
+        return pressure();
+    };
+    functions.sheet = [this]
+    {
         sheet_view view;
         if (const auto snapshot = sheets_.get())
         {
@@ -23,13 +63,23 @@
         }
         return view;
     };
-    functions.submit = [this](const submit_request& request) { return submit(request); };
-    functions.drain = [this] { return drain(); };
-    functions.announce = [this](const server_announcement& server) {
+    functions.submit = [this](const submit_request& request)
+    {
+        return submit(request);
+    };
+    functions.drain = [this]
+    {
+        return drain();
+    };
+    functions.announce = [this](const server_announcement& server)
+    {
         monitor_.announce(server);
         update_claims();
     };
-    functions.metrics = [this] { return metrics(); };
+    functions.metrics = [this]
+    {
+        return metrics();
+    };
     functions.events = &events_;
     return functions;
 }
@@ -112,7 +162,8 @@
 pressure_view node::impl::pressure() const
 {
     pressure_view view;
-    const auto add = [&](const admission_level& level) {
+    const auto add = [&](const admission_level& level)
+    {
         service_pressure entry;
         entry.service = level.service.get();
         entry.cut_priority = level.cut_priority;
@@ -132,7 +183,7 @@
 
 submit_result node::impl::submit(const submit_request& request)
 {
-    fescueridge::submit_result result;
+    submit_result result;
     result.current_version = sheets_.version().get();
     const sheet_or_faults parsed = parse_sheet(request.content);
     if (const auto* faults = std::get_if<std::vector<sheet_fault>>(&parsed))
@@ -144,9 +195,19 @@
     config_follower* follower = sheet_sync_->follower();
     if (follower == nullptr)
     {
-        result.status = submit_status::unavailable;
-        return result;
+        return result; // unavailable: no log service in the settings
+    }
+    try
+    {
+        const submit_decision decision = follower->submit(
+            request.content, sheet_version(request.base), request.author);
+        std::visit(decision_writer{result}, decision);
+    }
+    catch (const log_unavailable_error& problem)
+    {
+        events_.record("submit_unavailable", {{"reason", std::string(problem.what())}});
     }
+    result.current_version = sheets_.version().get();
     return result;
 }
 
--- a/src/node/operator_port.cpp
+++ b/src/node/operator_port.cpp
@@ -7,9 +7,11 @@
 
 #include "fescueridge/sheet/explain.hpp"
 
-namespace fescueridge {
+namespace fescueridge
+{
 
-namespace {
+namespace
+{
 
 using json = nlohmann::json;
 
@@ -27,7 +29,8 @@
 }
 
 std::uint64_t number_member(const json& body, const char* name, std::uint64_t low,
-                            std::uint64_t high, std::optional<std::uint64_t> fallback = {})
+                            std::uint64_t high,
+                            std::optional<std::uint64_t> fallback = {})
 {
     const auto found = body.find(name);
     if (found == body.end() && fallback)
@@ -69,7 +72,8 @@
 void respond_error(httplib::Response& response, const std::string& text, int status)
 {
     const json body{{"error", text}};
-    respond_json(response, body.dump(-1, ' ', false, json::error_handler_t::replace), status);
+    respond_json(response, body.dump(-1, ' ', false, json::error_handler_t::replace),
+                 status);
 }
 
 } // namespace
@@ -98,8 +102,8 @@
         static_cast<std::uint32_t>(number_member(body, "connections", 1, 100'000)));
     result.state = parse_state(text_member(body, "state"));
     result.number = incarnation(number_member(body, "incarnation", 0, max_64));
-    result.warm_up = milliseconds(
-        static_cast<std::int64_t>(number_member(body, "warm_up_ms", 0, 3'600'000, 10'000)));
+    result.warm_up = milliseconds(static_cast<std::int64_t>(
+        number_member(body, "warm_up_ms", 0, 3'600'000, 10'000)));
     return result;
 }
 
@@ -109,12 +113,17 @@
     impl(const endpoint& listen, operator_functions functions)
         : functions_(std::move(functions))
     {
-        server_.new_task_queue = [] { return new httplib::ThreadPool(worker_threads); };
+        server_.new_task_queue = []
+        {
+            return new httplib::ThreadPool(worker_threads);
+        };
         // Without SO_REUSEPORT a second node on the same port is an error and not silent.
-        server_.set_socket_options([](socket_t socket) {
-            const int yes = 1;
-            setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
-        });
+        server_.set_socket_options(
+            [](socket_t socket)
+            {
+                const int yes = 1;
+                setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+            });
         server_.set_payload_max_length(max_sheet_bytes + 65'536);
         server_.set_tcp_nodelay(true);
         add_sheet_routes();
@@ -150,90 +159,95 @@
 
     void add_sheet_routes()
     {
-        server_.Post("/v1/sheet/check", [](const request& in, response& out) {
-            check_result result;
-            const sheet_or_faults parsed = parse_sheet(in.body);
-            result.ok = std::holds_alternative<std::shared_ptr<const sheet>>(parsed);
-            if (const auto* faults = std::get_if<std::vector<sheet_fault>>(&parsed))
-            {
-                result.faults = *faults;
-            }
-            respond_json(out, to_body(result));
-        });
-        server_.Post("/v1/sheet/submit", [this](const request& in, response& out) {
-            try
+        server_.Post(
+            "/v1/sheet/check",
+            [](const request& in, response& out)
             {
-                const auto submit =
-                    parse_body<submit_request>(in.body);
-                respond_json(out, to_body(functions_.submit(submit)));
-            }
-            catch (const codec_error& problem)
-            {
-                respond_error(out, problem.what(), 400);
-            }
-        });
-        server_.Get("/v1/sheet", [this](const request&, response& out) {
-            respond_json(out, to_body(functions_.sheet()));
-        });
+                check_result result;
+                const sheet_or_faults parsed = parse_sheet(in.body);
+                result.ok = std::holds_alternative<std::shared_ptr<const sheet>>(parsed);
+                if (const auto* faults = std::get_if<std::vector<sheet_fault>>(&parsed))
+                {
+                    result.faults = *faults;
+                }
+                respond_json(out, to_body(result));
+            });
+        server_.Post("/v1/sheet/submit",
+                     [this](const request& in, response& out)
+                     {
+                         try
+                         {
+                             const auto submit = parse_body<submit_request>(in.body);
+                             respond_json(out, to_body(functions_.submit(submit)));
+                         }
+                         catch (const codec_error& problem)
+                         {
+                             respond_error(out, problem.what(), 400);
+                         }
+                     });
+        server_.Get("/v1/sheet", [this](const request&, response& out)
+                    { respond_json(out, to_body(functions_.sheet())); });
     }
 
     void add_view_routes()
     {
-        server_.Get("/v1/status", [this](const request&, response& out) {
-            respond_json(out, to_body(functions_.status()));
-        });
-        server_.Get("/v1/members", [this](const request&, response& out) {
-            respond_json(out, to_body(functions_.members()));
-        });
-        server_.Get("/v1/pressure", [this](const request&, response& out) {
-            respond_json(out, to_body(functions_.pressure()));
-        });
-        server_.Get("/v1/metrics", [this](const request&, response& out) {
-            respond_json(out, functions_.metrics());
-        });
-        server_.Get("/v1/events", [this](const request& in, response& out) {
-            std::uint64_t since = 0;
-            if (in.has_param("since"))
-            {
-                since = std::strtoull(in.get_param_value("since").c_str(), nullptr, 10);
-            }
-            std::string lines;
-            for (const event& entry : functions_.events->since(since))
-            {
-                lines += to_json_line(entry) + '\n';
-            }
-            out.set_content(lines, "application/x-ndjson");
-        });
-        server_.Get(R"(/v1/explain/(.+))", [](const request& in, response& out) {
-            try
-            {
-                const explain_view view{
-                    explain(decode_token(in.matches[1].str()))};
-                respond_json(out, to_body(view));
-            }
-            catch (const token_error& problem)
-            {
-                respond_error(out, problem.what(), 400);
-            }
-        });
+        server_.Get("/v1/status", [this](const request&, response& out)
+                    { respond_json(out, to_body(functions_.status())); });
+        server_.Get("/v1/members", [this](const request&, response& out)
+                    { respond_json(out, to_body(functions_.members())); });
+        server_.Get("/v1/pressure", [this](const request&, response& out)
+                    { respond_json(out, to_body(functions_.pressure())); });
+        server_.Get("/v1/metrics", [this](const request&, response& out)
+                    { respond_json(out, functions_.metrics()); });
+        server_.Get("/v1/events",
+                    [this](const request& in, response& out)
+                    {
+                        std::uint64_t since = 0;
+                        if (in.has_param("since"))
+                        {
+                            since = std::strtoull(in.get_param_value("since").c_str(),
+                                                  nullptr, 10);
+                        }
+                        std::string lines;
+                        for (const event& entry : functions_.events->since(since))
+                        {
+                            lines += to_json_line(entry) + '\n';
+                        }
+                        out.set_content(lines, "application/x-ndjson");
+                    });
+        server_.Get(R"(/v1/explain/(.+))",
+                    [](const request& in, response& out)
+                    {
+                        try
+                        {
+                            const explain_view view{
+                                explain(decode_token(in.matches[1].str()))};
+                            respond_json(out, to_body(view));
+                        }
+                        catch (const token_error& problem)
+                        {
+                            respond_error(out, problem.what(), 400);
+                        }
+                    });
     }
 
     void add_command_routes()
     {
-        server_.Post("/v1/drain", [this](const request&, response& out) {
-            respond_json(out, to_body(functions_.drain()));
-        });
-        server_.Post("/v1/server", [this](const request& in, response& out) {
-            try
-            {
-                functions_.announce(parse_announcement(in.body));
-                respond_json(out, "{}");
-            }
-            catch (const codec_error& problem)
-            {
-                respond_error(out, problem.what(), 400);
-            }
-        });
+        server_.Post("/v1/drain", [this](const request&, response& out)
+                     { respond_json(out, to_body(functions_.drain())); });
+        server_.Post("/v1/server",
+                     [this](const request& in, response& out)
+                     {
+                         try
+                         {
+                             functions_.announce(parse_announcement(in.body));
+                             respond_json(out, "{}");
+                         }
+                         catch (const codec_error& problem)
+                         {
+                             respond_error(out, problem.what(), 400);
+                         }
+                     });
     }
 
     operator_functions functions_;
--- a/src/node/outbound_call.cpp
+++ b/src/node/outbound_call.cpp
@@ -1,8 +1,10 @@
 #include "outbound_call.hpp"
 
-namespace fescueridge::detail {
+namespace fescueridge::detail
+{
 
-namespace {
+namespace
+{
 
 // Time that a reply about the end of the deadline may need to travel back. Without it the
 // calling node would give up a moment before the typed answer arrives.
@@ -16,8 +18,8 @@
 
 } // namespace
 
-outbound_call::outbound_call(std::shared_ptr<router_state> state, outbound_request request,
-                             call_router::reply_callback done)
+outbound_call::outbound_call(std::shared_ptr<router_state> state,
+                             outbound_request request, call_router::reply_callback done)
     : state_(std::move(state)), request_(std::move(request)),
       balancer_(state_->ports.peers.balancer(request_.service)),
       deadline_timer_(state_->ports.io), hedge_timer_(state_->ports.io),
@@ -28,12 +30,14 @@
 void outbound_call::begin()
 {
     request_.parent->downstream.begin();
-    child_number_ = request_.parent->add_child([weak = weak_from_this()] {
-        if (const auto self = weak.lock())
+    child_number_ = request_.parent->add_child(
+        [weak = weak_from_this()]
         {
-            self->cancel();
-        }
-    });
+            if (const auto self = weak.lock())
+            {
+                self->cancel();
+            }
+        });
     if (!child_number_)
     {
         finish(refusal(refusal_reason::cancelled, outcome::not_run));
@@ -62,24 +66,28 @@
         return; // cancelled meanwhile
     }
     deadline_timer_.expires_after(left + reply_grace);
-    deadline_timer_.async_wait([self = shared_from_this()](const asio::error_code& error) {
-        if (!error)
+    deadline_timer_.async_wait(
+        [self = shared_from_this()](const asio::error_code& error)
         {
-            self->on_deadline();
-        }
-    });
+            if (!error)
+            {
+                self->on_deadline();
+            }
+        });
     const std::optional<milliseconds> hedge_after = balancer_->hedge_delay(now);
     if (!request_.idempotent || !hedge_after || *hedge_after >= left)
     {
         return;
     }
     hedge_timer_.expires_after(*hedge_after);
-    hedge_timer_.async_wait([self = shared_from_this()](const asio::error_code& error) {
-        if (!error)
+    hedge_timer_.async_wait(
+        [self = shared_from_this()](const asio::error_code& error)
         {
-            self->on_hedge_time();
-        }
-    });
+            if (!error)
+            {
+                self->on_hedge_time();
+            }
+        });
 }
 
 call_message outbound_call::make_message(const call_id& id, retry_allowance lent) const
@@ -105,8 +113,8 @@
 
 retry_allowance outbound_call::borrow()
 {
-    // One unit stays here: it pays for a retry when the loan is lost with its link, and for
-    // a hedge.
+    // One unit stays here: it pays for a retry when the loan is lost with its link, and
+    // for a hedge.
     const retry_allowance all = request_.parent->allowance.lend();
     if (all.get() == 0)
     {
@@ -158,14 +166,14 @@
     const call_id id = message.id;
     if (node == state_->ports.self)
     {
-        state_->ports.local.execute(
-            std::move(message), [self = shared_from_this(), id](reply_message reply) {
-                self->on_reply(id, std::move(reply), true);
-            });
+        state_->ports.local.execute(std::move(message),
+                                    [self = shared_from_this(), id](reply_message reply)
+                                    { self->on_reply(id, std::move(reply), true); });
         return;
     }
     auto send_over = [self = shared_from_this(), id, node,
-                      message = std::move(message)](const link_ptr& via) {
+                      message = std::move(message)](const link_ptr& via)
+    {
         if (via)
         {
             {
@@ -260,12 +268,13 @@
         const std::lock_guard lock(mutex_);
         free_retry_used_ = true;
     }
-    state_->ports.events.record("call_retried",
-                                {{"root", request_.parent->root.get()},
-                                 {"service", request_.service.get()},
-                                 {"failed_node", ended.node.get()},
-                                 {"reason", std::string(to_string(reply.reason.value_or(
-                                                refusal_reason::server_failed)))}});
+    state_->ports.events.record(
+        "call_retried",
+        {{"root", request_.parent->root.get()},
+         {"service", request_.service.get()},
+         {"failed_node", ended.node.get()},
+         {"reason",
+          std::string(to_string(reply.reason.value_or(refusal_reason::server_failed)))}});
     const bool paid = std::holds_alternative<retry_paid>(decision);
     return start_attempt(paid ? exclusion::preferred : exclusion::strict);
 }
@@ -428,7 +437,8 @@
 
 } // namespace fescueridge::detail
 
-namespace fescueridge {
+namespace fescueridge
+{
 
 call_router::call_router(router_ports ports)
     : state_(std::make_shared<detail::router_state>(std::move(ports)))
--- a/src/node/outbound_call.hpp
+++ b/src/node/outbound_call.hpp
@@ -11,7 +11,8 @@
 #include "fescueridge/base/stopwatch.hpp"
 #include "fescueridge/node/call_router.hpp"
 
-namespace fescueridge::detail {
+namespace fescueridge::detail
+{
 
 /// One attempt of an outbound call that waits for its reply over a link.
 struct pending_attempt
--- a/src/node/peer_table.cpp
+++ b/src/node/peer_table.cpp
@@ -4,9 +4,11 @@
 
 #include "fescueridge/base/clock.hpp"
 
-namespace fescueridge {
+namespace fescueridge
+{
 
-namespace {
+namespace
+{
 
 server_member to_server_member(const member_view& member, bool link_up)
 {
@@ -28,7 +30,8 @@
 {
 }
 
-void peer_table::update(const member_record& self, const std::vector<member_view>& members)
+void peer_table::update(const member_record& self,
+                        const std::vector<member_view>& members)
 {
     const std::unique_lock lock(mutex_);
     members_.clear();
@@ -107,13 +110,15 @@
         done(nullptr);
         return;
     }
-    hub_->dial(*target, [this, node, done = std::move(done)](const link_ptr& opened) {
-        if (!opened)
-        {
-            on_link_closed(node);
-        }
-        done(opened);
-    });
+    hub_->dial(*target,
+               [this, node, done = std::move(done)](const link_ptr& opened)
+               {
+                   if (!opened)
+                   {
+                       on_link_closed(node);
+                   }
+                   done(opened);
+               });
 }
 
 void peer_table::on_link_open(const node_id& node)
--- a/src/node/periodic_timer.hpp
+++ b/src/node/periodic_timer.hpp
@@ -15,12 +15,14 @@
 class periodic_timer : public std::enable_shared_from_this<periodic_timer>
 {
 public:
-    periodic_timer(asio::io_context& io, milliseconds interval, std::function<void()> task)
+    periodic_timer(asio::io_context& io, milliseconds interval,
+                   std::function<void()> task)
         : timer_(io), interval_(interval), task_(std::move(task))
     {
     }
 
-    static void start(asio::io_context& io, milliseconds interval, std::function<void()> task)
+    static void start(asio::io_context& io, milliseconds interval,
+                      std::function<void()> task)
     {
         std::make_shared<periodic_timer>(io, interval, std::move(task))->arm();
     }
@@ -29,13 +31,15 @@
     void arm()
     {
         timer_.expires_after(interval_);
-        timer_.async_wait([self = shared_from_this()](const asio::error_code& problem) {
-            if (!problem)
+        timer_.async_wait(
+            [self = shared_from_this()](const asio::error_code& problem)
             {
-                self->task_();
-                self->arm();
-            }
-        });
+                if (!problem)
+                {
+                    self->task_();
+                    self->arm();
+                }
+            });
     }
 
     asio::steady_timer timer_;
--- a/src/node/quarantine_sync.cpp
+++ b/src/node/quarantine_sync.cpp
@@ -30,7 +30,8 @@
         *log, follow_options{},
         [this](const quarantine_record& record) { suspicions_.merge(record); },
         [this](const error& problem) {
-            events_.record("quarantine_log_fault", {{"reason", std::string(problem.what())}});
+            events_.record("quarantine_log_fault",
+                           {{"reason", std::string(problem.what())}});
         });
 }
 
@@ -71,16 +72,18 @@
     {
         return;
     }
-    worker_.post([this, record, attempts_left] {
-        try
+    worker_.post(
+        [this, record, attempts_left]
         {
-            follower_->append(record, append_timeout);
-        }
-        catch (const error&)
-        {
-            append(record, attempts_left - 1);
-        }
-    });
+            try
+            {
+                follower_->append(record, append_timeout);
+            }
+            catch (const error&)
+            {
+                append(record, attempts_left - 1);
+            }
+        });
 }
 
 void quarantine_sync::on_strike(const strike_message& strike)
--- a/src/node/refusals.cpp
+++ b/src/node/refusals.cpp
@@ -3,7 +3,8 @@
 #include "fescueridge/base/clock.hpp"
 #include "fescueridge/sheet/explain.hpp"
 
-namespace fescueridge {
+namespace fescueridge
+{
 
 refusal_maker::refusal_maker(node_id node, domain_name domain, const sheet_holder& sheets)
     : node_(std::move(node)), domain_(std::move(domain)), sheets_(sheets)
@@ -17,8 +18,8 @@
     refusal_record record;
     if (const auto snapshot = sheets_.get())
     {
-        const rule* decided = snapshot->rules->find(call.service.get(), call.caller.get(),
-                                                    call.path);
+        const rule* decided =
+            snapshot->rules->find(call.service.get(), call.caller.get(), call.path);
         set_rule(record, snapshot->version, *snapshot->rules, decided);
     }
     record.reason = reason;
--- a/src/node/server_executor.cpp
+++ b/src/node/server_executor.cpp
@@ -2,7 +2,8 @@
 
 #include "executor_core.hpp"
 
-namespace fescueridge {
+namespace fescueridge
+{
 
 server_executor::server_executor(executor_ports ports)
     : core_(std::make_shared<detail::executor_core>(std::move(ports)))
--- a/src/node/server_monitor.cpp
+++ b/src/node/server_monitor.cpp
@@ -42,12 +42,14 @@
 {
     events_.record("server_state", {{"service", server.service.get()},
                                     {"state", std::string(to_string(server.state))}});
-    spread_([&](member_record& record) {
-        record.service = server.service;
-        record.state = server.state;
-        record.slots = server.slots;
-        record.warm_up = server.warm_up;
-    });
+    spread_(
+        [&](member_record& record)
+        {
+            record.service = server.service;
+            record.state = server.state;
+            record.slots = server.slots;
+            record.warm_up = server.warm_up;
+        });
 }
 
 void server_monitor::drain()
--- a/src/node/sheet_holder.cpp
+++ b/src/node/sheet_holder.cpp
@@ -2,7 +2,8 @@
 
 #include <variant>
 
-namespace fescueridge {
+namespace fescueridge
+{
 
 std::shared_ptr<const sheet_snapshot> sheet_holder::get() const
 {
@@ -15,7 +16,8 @@
     return snapshot ? snapshot->version : sheet_version(0);
 }
 
-bool sheet_holder::adopt(sheet_version version, log_offset offset, const std::string& content)
+bool sheet_holder::adopt(sheet_version version, log_offset offset,
+                         const std::string& content)
 {
     if (version <= this->version())
     {
--- a/src/node/sheet_sync.cpp
+++ b/src/node/sheet_sync.cpp
@@ -4,11 +4,12 @@
 
 #include "fescueridge/overload/rendezvous.hpp"
 
-namespace fescueridge {
+namespace fescueridge
+{
 
 sheet_sync::sheet_sync(const node_id& self, const domain_name& domain, log_service* log,
-                       milliseconds log_retention, peer_table& peers, sheet_holder& sheets,
-                       event_log& events, sender send,
+                       milliseconds log_retention, peer_table& peers,
+                       sheet_holder& sheets, event_log& events, sender send,
                        std::function<void(sheet_version)> on_change)
     : self_(self), domain_(domain), peers_(peers), sheets_(sheets), events_(events),
       send_(std::move(send)), on_change_(std::move(on_change)), started_(clock::now())
@@ -20,8 +21,12 @@
     config_follower_options options;
     options.retention = log_retention;
     config_follower_handlers handlers;
-    handlers.changed = [this](const sheet_in_force& sheet) { adopt(sheet); };
-    handlers.fault = [this](const std::string& name, const std::string& reason) {
+    handlers.changed = [this](const sheet_in_force& sheet)
+    {
+        adopt(sheet);
+    };
+    handlers.fault = [this](const std::string& name, const std::string& reason)
+    {
         events_.record(name, {{"reason", reason}});
     };
     follower_ = std::make_unique<config_follower>(*log, options, handlers);
@@ -65,9 +70,10 @@
     }
     if (follower_)
     {
-        const auto readers = choose_by_rendezvous("config-readers", peers_.live_nodes(domain_),
-                                                  readers_per_domain);
-        const bool chosen = std::find(readers.begin(), readers.end(), self_) != readers.end();
+        const auto readers = choose_by_rendezvous(
+            "config-readers", peers_.live_nodes(domain_), readers_per_domain);
+        const bool chosen =
+            std::find(readers.begin(), readers.end(), self_) != readers.end();
         follower_->set_following(chosen || !ready_);
     }
 }
--- a/src/standin_server/backend_server.cpp
+++ b/src/standin_server/backend_server.cpp
@@ -244,6 +244,7 @@
     end(work, json_response(200, {{"service", settings_.service},
                                   {"method", work->request.method},
                                   {"path", work->request.target},
+                                  {"body", work->request.body},
                                   {"body_hash", body_hash(work->request.body)},
                                   {"key", key ? *key : ""},
                                   {"execution", work->number},
--- a/src/state/config_follower.cpp
+++ b/src/state/config_follower.cpp
@@ -20,7 +20,7 @@
     return options;
 }
 
-bool is_decided(const submit_result& result)
+bool is_decided(const submit_decision& result)
 {
     return !std::holds_alternative<submit_not_seen>(result);
 }
@@ -206,8 +206,8 @@
     }
 }
 
-submit_result config_follower::submit(const std::string& content, sheet_version base,
-                                      const std::string& author)
+submit_decision config_follower::submit(const std::string& content, sheet_version base,
+                                        const std::string& author)
 {
     submit_record record{"", base, author, content};
     {
--- a/src/state/config_state.cpp
+++ b/src/state/config_state.cpp
@@ -92,7 +92,7 @@
 // reader that starts from a carry does not know old ids and must decide alike.
 void config_table::decide(const submit_record& submit)
 {
-    submit_result decision;
+    submit_decision decision;
     if (submit.base == version_)
     {
         version_ = sheet_version(version_.get() + 1);
@@ -121,7 +121,7 @@
     }
 }
 
-submit_result config_table::result(const std::string& submit_id) const
+submit_decision config_table::result(const std::string& submit_id) const
 {
     const auto found = results_.find(submit_id);
     return found != results_.end() ? found->second : submit_not_seen{};
--- a/src/state/config_test.cpp
+++ b/src/state/config_test.cpp
@@ -140,7 +140,7 @@
         {
             const auto base = follower.current();
             const std::string content = std::to_string(number) + "/" + std::to_string(i);
-            const submit_result result = follower.submit(
+            const submit_decision result = follower.submit(
                 content, base ? base->version : sheet_version(0), "operator");
             if (const auto* won = std::get_if<submit_accepted>(&result))
             {
@@ -262,26 +262,23 @@
         follower.submit("x", sheet_version(0), "a")));
 }
 
-// Guards against quarantine records that lose strikes, and contacts hidden by a bad
+// Guards against quarantine records that lose crashes, and contacts hidden by a bad
 // record.
 Test(config, quarantine_and_contacts)
 {
     memory_log_service log;
     log.append("quarantine", "garbage", timeout);
-    std::atomic<std::uint32_t> strikes{0};
+    std::atomic<std::size_t> crashes{0};
     follow_options options;
     options.wait = milliseconds(50);
-    quarantine_follower follower(
-        log, options, [&](const quarantine_record& record) { strikes = record.strikes; });
-    follower.append({fingerprint(~std::uint64_t{0}), 2, incarnation(7), wall_clock_ms()},
-                    timeout);
-    cr_assert(eventually([&] { return strikes == 2; }));
-    quarantine_table table;
-    table.merge({fingerprint(1), 2, incarnation(7), 100});
-    cr_assert(!table.merge({fingerprint(1), 1, incarnation(6), 50}));
-    cr_assert(table.merge({fingerprint(1), 1, incarnation(8), 150}));
-    cr_assert_eq(table.current(200).at(0).strikes, 2);
-    cr_assert(table.current(200 + 25 * 3'600'000).empty());
+    quarantine_follower follower(log, options,
+                                 [&](const quarantine_record& record)
+                                 { crashes = record.crashes.size(); });
+    quarantine_record record;
+    record.request = fingerprint(~std::uint64_t{0});
+    record.crashes = {{incarnation(7), false}, {incarnation(~std::uint64_t{0}), true}};
+    follower.append(record, timeout);
+    cr_assert(eventually([&] { return crashes == 2; }));
 
     const contact a{domain_name("a"), {"127.0.0.1", 1}};
     const contact b{domain_name("b"), {"127.0.0.1", 2}};
--- a/src/state/quarantine_log.cpp
+++ b/src/state/quarantine_log.cpp
@@ -24,7 +24,10 @@
     : log_(log), on_record_(std::move(on_record)), fault_(std::move(fault)),
       follower_(log, for_quarantine(std::move(options)),
                 {[this](const log_page& page) { on_page(page); }, [](log_offset) {},
-                 [this](const error& problem) { report(problem); }})
+                 [this](const error& problem)
+                 {
+                     report(problem);
+                 }})
 {
 }
 
