--- a/src/fescueridge/fleet_commands.cpp
+++ b/src/fescueridge/fleet_commands.cpp
@@ -6,6 +6,7 @@
 
 #include "commands.hpp"
 #include "operator_client.hpp"
+#include "output.hpp"
 
 namespace fescueridge
 {
@@ -15,13 +16,6 @@
 
 using json = nlohmann::json;
 
-constexpr milliseconds poll_interval{200};
-
-std::string to_text(const json& value)
-{
-    return value.dump(2, ' ', false, json::error_handler_t::replace);
-}
-
 auto ask_status(const global_options& global)
 {
     return ask_all(global.nodes, global.deadline,
@@ -156,6 +150,7 @@
     }
     own.merge(others);
     std::vector<domain_view> result;
+    result.reserve(own.size());
     for (const auto& entry : own)
     {
         result.push_back(entry.second);
--- a/src/fescueridge/operator_client.hpp
+++ b/src/fescueridge/operator_client.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <future>
 #include <optional>
 #include <string>
 #include <vector>
@@ -100,20 +101,30 @@
     std::string error;
 };
 
-/// Calls `ask(client)` for each address. Throws unreachable_error when none answers.
+/// Calls `ask(client)` for each address, all at the same time, so that frozen nodes do
+/// not add up. Throws unreachable_error when none answers.
 template <class Ask>
 auto ask_all(const std::vector<endpoint>& addresses, time_point deadline, Ask ask)
     -> std::vector<answer_of<decltype(ask(std::declval<const operator_client&>()))>>
 {
-    std::vector<answer_of<decltype(ask(std::declval<const operator_client&>()))>> result;
+    using answer = decltype(ask(std::declval<const operator_client&>()));
+    std::vector<std::future<answer>> running;
+    running.reserve(addresses.size());
+    for (const endpoint& address : addresses)
+    {
+        running.push_back(
+            std::async(std::launch::async, [&ask, address, deadline]
+                       { return ask(operator_client(address, deadline)); }));
+    }
+    std::vector<answer_of<answer>> result;
     bool answered = false;
     std::string causes;
-    for (const endpoint& address : addresses)
+    for (std::size_t i = 0; i < addresses.size(); ++i)
     {
-        result.push_back({address, std::nullopt, ""});
+        result.push_back({addresses[i], std::nullopt, ""});
         try
         {
-            result.back().answer = ask(operator_client(address, deadline));
+            result.back().answer = running[i].get();
             answered = true;
         }
         catch (const unreachable_error& problem)
--- a/src/fescueridge/sheet_commands.cpp
+++ b/src/fescueridge/sheet_commands.cpp
@@ -8,6 +8,7 @@
 #include "fescueridge/base/random.hpp"
 #include "fescueridge/sheet/explain.hpp"
 #include "operator_client.hpp"
+#include "output.hpp"
 
 namespace fescueridge
 {
@@ -17,15 +18,6 @@
 
 using json = nlohmann::json;
 
-// Time between two looks at the same thing: a submit whose result is pending, or versions
-// that are not in force yet.
-constexpr milliseconds poll_interval{200};
-
-std::string to_text(const json& value)
-{
-    return value.dump(2, ' ', false, json::error_handler_t::replace);
-}
-
 void print_faults(const std::string& file, const std::vector<sheet_fault>& faults)
 {
     for (const sheet_fault& fault : faults)
@@ -109,11 +101,11 @@
 {
     while (true)
     {
-        const auto result = ask_first(global.nodes, global.deadline,
-                                      [&](const operator_client& client) {
-                                          return client.post_view<submit_result>(
-                                              "/v1/sheet/submit", to_body(request));
-                                      });
+        submit_result result = ask_first(global.nodes, global.deadline,
+                                         [&](const operator_client& client) {
+                                             return client.post_view<submit_result>(
+                                                 "/v1/sheet/submit", to_body(request));
+                                         });
         const bool late = clock::now() + poll_interval >= global.deadline;
         if (result.status != submit_status::pending || late)
         {
--- a/src/fescueridge/timeline_command.cpp
+++ b/src/fescueridge/timeline_command.cpp
@@ -38,6 +38,7 @@
     {
         position = {incarnation, 0};
     }
+    const std::uint64_t read_before = position.sequence;
     std::istringstream lines(
         client.get(fmt::format("/v1/events?since={}", position.sequence)));
     std::vector<event_view> result;
@@ -50,7 +51,12 @@
         }
         try
         {
-            result.push_back(parse_event_line(line));
+            event_view entry = parse_event_line(line);
+            if (entry.incarnation == incarnation && entry.sequence > read_before)
+            {
+                position.sequence = std::max(position.sequence, entry.sequence);
+                result.push_back(std::move(entry));
+            }
         }
         catch (const codec_error& problem)
         {
@@ -58,7 +64,6 @@
                                                 to_string(client.address()),
                                                 problem.what()));
         }
-        position.sequence = std::max(position.sequence, result.back().sequence);
     }
     return result;
 }
@@ -107,21 +112,39 @@
                to_field_text(entry));
 }
 
+/// Prints each error of a node once, until it answers again or fails in another way.
+class error_printer
+{
+public:
+    void report(const endpoint& address, const std::string& text)
+    {
+        std::string& last = last_[address];
+        if (!text.empty() && text != last)
+        {
+            fmt::print(stderr, "fescueridge: {}\n", text);
+        }
+        last = text;
+    }
+
+private:
+    std::map<endpoint, std::string> last_;
+};
+
 /// Prints what is new at all nodes. Throws unreachable_error when none answers.
 void print_new_events(const global_options& global, const timeline_options& options,
-                      positions& known)
+                      positions& known, error_printer& errors)
 {
     const time_point deadline =
         options.follow ? clock::now() + milliseconds(2000) : global.deadline;
     const auto all = ask_all(global.nodes, deadline,
                              [&](const operator_client& client)
-                             { return read_events(client, known[client.address()]); });
+                             { return read_events(client, known.at(client.address())); });
     std::vector<event_view> events;
     for (const auto& one : all)
     {
+        errors.report(one.address, one.error);
         if (!one.answer)
         {
-            fmt::print(stderr, "fescueridge: {}\n", one.error);
             continue;
         }
         std::copy_if(one.answer->begin(), one.answer->end(), std::back_inserter(events),
@@ -145,16 +168,29 @@
 int run_timeline(const global_options& global, const timeline_options& options)
 {
     positions known;
+    for (const endpoint& address : global.nodes)
+    {
+        known.emplace(address, read_position());
+    }
+    error_printer errors;
     if (!global.json)
     {
         fmt::print("{:<12} {:>9} {:<16} {:>7} {:<24} {}\n", "time (UTC)", "lamport",
                    "node", "seq", "event", "fields");
     }
-    print_new_events(global, options, known);
+    print_new_events(global, options, known, errors);
     while (options.follow)
     {
         std::this_thread::sleep_for(follow_interval);
-        print_new_events(global, options, known);
+        try
+        {
+            print_new_events(global, options, known, errors);
+        }
+        catch (const unreachable_error& problem)
+        {
+            // All nodes are away; they may come back.
+            errors.report(endpoint(), problem.what());
+        }
     }
     return exit_ok;
 }
