--- a/src/membership/gossip_state.cpp
+++ b/src/membership/gossip_state.cpp
@@ -428,7 +428,7 @@
     }
     // Sheet versions alone change too often in a large fleet to be pushed.
     const bool urgent =
-        full || before.state != self_.record.state || alive_ < small_fleet;
+        full || before.state != self_.record.state || alive_ < max_pushed_sheets;
     spread_news(self_, urgent, full);
     next_push_ = now_;
 }
--- a/src/membership/gossip_state.hpp
+++ b/src/membership/gossip_state.hpp
@@ -74,8 +74,13 @@
     time_point next_probe;
 };
 
-/// Up to this number of members every news is urgent.
-constexpr std::size_t small_fleet = 200;
+/// Up to this number of members anti-entropy compares all differing members at once.
+constexpr std::size_t small_fleet = 500;
+
+/// Up to this number of members sheet versions are pushed like other news. A change of
+/// the sheet every 6.6 s (13,000 a day) cost 2.0 KB/s with 50 members and 10.3 KB/s with
+/// 200, against a budget of 4 KB/s.
+constexpr std::size_t max_pushed_sheets = 64;
 
 /// State and rules of gossip_core.
 class gossip_state
--- a/src/membership/merge.cpp
+++ b/src/membership/merge.cpp
@@ -270,7 +270,7 @@
         report(change_kind::changed, item);
     }
     const bool only_sheet = sheet_changed && !state_changed && !recovered;
-    spread_news(item, !only_sheet || alive_ < small_fleet, false);
+    spread_news(item, !only_sheet || alive_ < max_pushed_sheets, false);
     if (was_dead)
     {
         start_digest_now_and_then(item.record.gossip);
