Let the share holder forget old reports while it answers

Cause: share_holder::own_demand drops old reports and is no longer const; the exchange between domains read it through a const map. Ruled out: a const copy, since the reports would then never be dropped. Change: the loop takes the holder by reference under its lock.

--- a/src/node/limit_control.cpp
+++ b/src/node/limit_control.cpp
@@ -114,7 +114,7 @@
     std::vector<demand_report_message> totals;
     {
         const std::lock_guard lock(mutex_);
-        for (const auto& [row, holder] : held_)
+        for (auto& [row, holder] : held_)
         {
             totals.push_back(holder.own_demand(clock::now()));
         }
