--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,9 @@
 test: build
 	@scripts/run_tests.sh $(BUILD)
 
+demo: build
+	@python3 scripts/demo.py --build $(BUILD)
+
 format:
 	@git ls-files -z -- '*.cpp' '*.hpp' | xargs -0 clang-format -i
 
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -57,7 +57,7 @@
         const json& value = get(key);
         if (!value.is_string() || value.get_ref<const std::string&>().empty())
         {
-            fail(key, "must be a text that is not empty");
+            fail(key, "must be a text that is not empty, not " + value.dump());
         }
         return value.get<std::string>();
     }
@@ -68,7 +68,7 @@
     {
         if (!value.is_string())
         {
-            fail(key, "must be a text \"address:port\"");
+            fail(key, "must be a text \"address:port\", not " + value.dump());
         }
         try
         {
@@ -80,8 +80,9 @@
         }
     }
 
+    /// `unit` is named in the error message, for example " of milliseconds".
     std::int64_t number(const std::string& key, std::int64_t fallback, std::int64_t low,
-                        std::int64_t high)
+                        std::int64_t high, const std::string& unit = "")
     {
         const json* value = find(key);
         if (value == nullptr)
@@ -90,13 +91,13 @@
         }
         if (!value->is_number_integer())
         {
-            fail(key, "must be a whole number");
+            fail(key, "must be a whole number" + unit + ", not " + value->dump());
         }
         const auto result = value->get<std::int64_t>();
         if (result < low || result > high)
         {
-            fail(key,
-                 "must be from " + std::to_string(low) + " to " + std::to_string(high));
+            fail(key, "must be from " + std::to_string(low) + " to " +
+                          std::to_string(high) + ", not " + value->dump());
         }
         return result;
     }
@@ -107,12 +108,22 @@
         {
             if (known_.count(item.key()) == 0)
             {
-                fail(item.key(), "is not a known key");
+                fail(item.key(), "is not a known key; known are " + known_keys());
             }
         }
     }
 
 private:
+    std::string known_keys() const
+    {
+        std::string result;
+        for (const std::string& key : known_)
+        {
+            result += (result.empty() ? "" : ", ") + key;
+        }
+        return result;
+    }
+
     const json& object_;
     std::string file_;
     std::string prefix_;
@@ -175,23 +186,25 @@
         result.log_service = reader.address("log_service");
     }
     constexpr std::int64_t year_ms = std::int64_t{365} * 24 * 3'600'000;
-    result.log_retention = milliseconds(
-        reader.number("log_retention_ms", result.log_retention.count(), 1'000, year_ms));
+    const std::string unit = " of milliseconds";
+    result.log_retention = milliseconds(reader.number(
+        "log_retention_ms", result.log_retention.count(), 1'000, year_ms, unit));
     result.threads = static_cast<unsigned>(reader.number("threads", 2, 1, 64));
     result.drain_timeout =
-        milliseconds(reader.number("drain_timeout_ms", 30'000, 0, 3'600'000));
+        milliseconds(reader.number("drain_timeout_ms", 30'000, 0, 3'600'000, unit));
     reader.reject_unknown_keys();
     return result;
 }
 
 node_settings load_settings(const std::string& file)
 {
-    const std::ifstream input(file);
-    if (!input)
+    std::ifstream input(file);
+    std::ostringstream text;
+    // Opening a directory succeeds; only reading it fails.
+    if (!input || input.peek() == std::ifstream::traits_type::eof())
     {
-        throw settings_error(file, "", "cannot be read");
+        throw settings_error(file, "", input.eof() ? "is empty" : "cannot be read");
     }
-    std::ostringstream text;
     text << input.rdbuf();
     return parse_settings(text.str(), file);
 }
--- a/src/fescueridge/fleet_commands.cpp
+++ b/src/fescueridge/fleet_commands.cpp
@@ -115,7 +115,8 @@
     {
         if (is_in_force(domain, version))
         {
-            fmt::print("{}: in force on {} nodes\n", domain.name, domain.nodes);
+            fmt::print("{}: in force on {} node{}\n", domain.name, domain.nodes,
+                       domain.nodes == 1 ? "" : "s");
         }
         else if (domain.reachable)
         {
--- a/src/fescueridge/sheet_commands.cpp
+++ b/src/fescueridge/sheet_commands.cpp
@@ -207,6 +207,13 @@
     return result;
 }
 
+/// Returns the version with its author, whom not every node knows.
+std::string version_text(const sheet_view& view)
+{
+    const std::string author = view.author.empty() ? "" : " by " + view.author;
+    return fmt::format("version {}{}", view.version, author);
+}
+
 std::string_view describe(verification value)
 {
     switch (value)
@@ -294,7 +301,7 @@
     if (against.empty())
     {
         fmt::print("{}", global.json ? to_text(json(view)) + "\n" : view.content);
-        fmt::print(stderr, "version {} by {}\n", view.version, view.author);
+        fmt::print(stderr, "{}\n", version_text(view));
         return exit_ok;
     }
     const auto before = check_file(global, against, read_file(against));
@@ -311,8 +318,8 @@
                                     {"differences", to_json_list(rows)}}));
         return exit_ok;
     }
-    fmt::print("{} (-) against version {} by {} (+): {} rows differ\n", against,
-               view.version, view.author, rows.size());
+    fmt::print("{} (-) against {} (+): {} rows differ\n", against, version_text(view),
+               rows.size());
     print_differences(rows);
     return exit_ok;
 }
--- a/src/fescueridged/main.cpp
+++ b/src/fescueridged/main.cpp
@@ -13,9 +13,11 @@
 constexpr int exit_ok = 0;
 constexpr int exit_bad_settings = 2;
 
-void report(const std::string& event, const std::string& text)
+void report(const std::string& event, const std::string& file, const std::string& key,
+            const std::string& text)
 {
-    const nlohmann::ordered_json line{{"event", event}, {"text", text}};
+    const nlohmann::ordered_json line{
+        {"event", event}, {"file", file}, {"key", key}, {"text", text}};
     fmt::print(stderr, "{}\n",
                line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
@@ -80,11 +82,13 @@
     }
     catch (const fescueridge::settings_error& problem)
     {
-        report("settings_error", problem.what());
+        report("settings_error", settings_file, problem.key(), problem.what());
     }
-    catch (const fescueridge::address_error& problem)
+    catch (const fescueridge::listen_error& problem)
     {
-        report("address_error", problem.what());
+        report("address_error", settings_file, problem.key(),
+               fmt::format("{}: key \"{}\": {}", settings_file, problem.key(),
+                           problem.what()));
     }
     return exit_bad_settings;
 }
--- a/src/include/fescueridge/node/operator_port.hpp
+++ b/src/include/fescueridge/node/operator_port.hpp
@@ -33,12 +33,16 @@
 class operator_port
 {
 public:
-    /// Listens and starts to serve. Throws address_error when the address is in use.
+    /// Listens; connections wait until start(). Throws address_error when the address is
+    /// in use.
     operator_port(const endpoint& listen, operator_functions functions);
     ~operator_port();
     operator_port(const operator_port&) = delete;
     operator_port& operator=(const operator_port&) = delete;
 
+    /// Starts to serve. The functions must work from now on.
+    void start();
+
     void stop();
 
 private:
--- a/src/include/fescueridge/state/config_follower.hpp
+++ b/src/include/fescueridge/state/config_follower.hpp
@@ -67,9 +67,10 @@
     /// Submits a sheet and waits for the decision. A lost answer is recovered by reading
     /// back and by appending again under the same id. submit_not_seen means unknown: the
     /// submit may still take effect. Throws log_unavailable_error if it certainly has
-    /// none.
+    /// none. A submit that is sent again under the same id, here or at another node,
+    /// counts once and gets the first decision; an empty id is replaced by a new one.
     submit_decision submit(const std::string& content, sheet_version base,
-                           const std::string& author);
+                           const std::string& author, const std::string& submit_id = "");
 
     /// Ends the threads.
     void stop();
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -42,6 +42,20 @@
     return std::make_unique<http_log_service>(*settings.log_service);
 }
 
+/// Opens one of the ports, and names its key when that fails.
+template <class Open>
+auto open_port(const char* key, Open open)
+{
+    try
+    {
+        return open();
+    }
+    catch (const address_error& problem)
+    {
+        throw listen_error(key, problem.what());
+    }
+}
+
 } // namespace
 
 node::impl::impl(const node_settings& settings)
@@ -65,19 +79,64 @@
         return hello_message{settings_.node, number_, settings_.domain,
                              sheets_.version()};
     };
-    hub_ = std::make_unique<link_hub>(io_, settings_.listen_link, hello, events_,
-                                      make_link_callbacks());
+    hub_ =
+        open_port("listen.link",
+                  [&]
+                  {
+                      return std::make_unique<link_hub>(io_, settings_.listen_link, hello,
+                                                        events_, make_link_callbacks());
+                  });
     peers_.use(*hub_);
-    gossip_ = std::make_unique<gossip_udp>(
-        io_, make_own_record(), settings_.contacts,
-        gossip_callbacks{[this](const auto& changes) { on_member_changes(changes); },
-                         [this](const endpoint& from, const std::string& reason)
-                         {
-                             events_.record(
-                                 "gossip_malformed",
-                                 {{"from", to_string(from)}, {"reason", reason}});
-                         }});
+    const gossip_callbacks on_gossip{
+        [this](const auto& changes) { on_member_changes(changes); },
+        [this](const endpoint& from, const std::string& reason)
+        {
+            events_.record("gossip_malformed",
+                           {{"from", to_string(from)}, {"reason", reason}});
+        }};
+    gossip_ = open_port("listen.gossip",
+                        [&]
+                        {
+                            return std::make_unique<gossip_udp>(
+                                io_, make_own_record(), settings_.contacts, on_gossip);
+                        });
     refresh_peers();
+    http_server_options options;
+    options.on_fault = [this](const http_fault& fault)
+    {
+        events_.record("http_fault", {{"kind", std::string(to_string(fault.kind))},
+                                      {"peer", to_string(fault.peer)},
+                                      {"detail", fault.detail}});
+    };
+    const auto serve_http = [&](const endpoint& listen, auto handler)
+    {
+        return std::make_unique<http_server>(io_, listen, std::move(handler), options);
+    };
+    caller_server_ = open_port(
+        "listen.caller",
+        [&]
+        {
+            return serve_http(
+                settings_.listen_caller,
+                [this](http_request request, std::shared_ptr<http_exchange> exchange)
+                { ports_.on_caller_request(std::move(request), std::move(exchange)); });
+        });
+    server_server_ = open_port(
+        "listen.server",
+        [&]
+        {
+            return serve_http(
+                settings_.listen_server,
+                [this](http_request request, std::shared_ptr<http_exchange> exchange)
+                { ports_.on_server_request(std::move(request), std::move(exchange)); });
+        });
+    operator_ = open_port("listen.operator",
+                          [&]
+                          {
+                              return std::make_unique<operator_port>(
+                                  settings_.listen_operator, make_operator_functions());
+                          });
+    // Only now, so that a port in use is reported before the log is asked.
     quarantine_ = std::make_unique<quarantine_sync>(log_.get(), suspicions_, peers_,
                                                     worker_, events_, sender);
     sheet_sync_ = std::make_unique<sheet_sync>(
@@ -89,25 +148,7 @@
             update_own_record([&](member_record& record) { record.sheet = version; });
             update_claims();
         });
-    http_server_options options;
-    options.on_fault = [this](const http_fault& fault)
-    {
-        events_.record("http_fault", {{"kind", std::string(to_string(fault.kind))},
-                                      {"peer", to_string(fault.peer)},
-                                      {"detail", fault.detail}});
-    };
-    caller_server_ = std::make_unique<http_server>(
-        io_, settings_.listen_caller,
-        [this](http_request request, std::shared_ptr<http_exchange> exchange)
-        { ports_.on_caller_request(std::move(request), std::move(exchange)); },
-        options);
-    server_server_ = std::make_unique<http_server>(
-        io_, settings_.listen_server,
-        [this](http_request request, std::shared_ptr<http_exchange> exchange)
-        { ports_.on_server_request(std::move(request), std::move(exchange)); },
-        options);
-    operator_ = std::make_unique<operator_port>(settings_.listen_operator,
-                                                make_operator_functions());
+    operator_->start();
 }
 
 node::impl::~impl()
--- a/src/node/node_operator.cpp
+++ b/src/node/node_operator.cpp
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <nlohmann/json.hpp>
+#include <tuple>
 
 #include "node_impl.hpp"
 
@@ -161,22 +162,29 @@
 
 pressure_view node::impl::pressure() const
 {
-    pressure_view view;
-    const auto add = [&](const admission_level& level)
-    {
-        service_pressure entry;
-        entry.service = level.service.get();
-        entry.cut_priority = level.cut_priority;
-        entry.cut_fraction = level.cut_fraction;
-        view.services.push_back(std::move(entry));
-    };
+    std::vector<admission_level> levels = pressure_.levels(clock::now());
     if (const auto own = executor_.level())
     {
-        add(*own);
+        levels.push_back(*own);
     }
-    for (const admission_level& level : pressure_.levels(clock::now()))
+    // One entry for each service: the level that admits least.
+    std::map<std::string, service_pressure> lowest;
+    for (const admission_level& level : levels)
+    {
+        const service_pressure entry{level.service.get(), level.cut_priority,
+                                     level.cut_fraction, 0};
+        const auto [known, is_new] = lowest.try_emplace(entry.service, entry);
+        if (!is_new &&
+            std::tie(entry.cut_priority, entry.cut_fraction) <
+                std::tie(known->second.cut_priority, known->second.cut_fraction))
+        {
+            known->second = entry;
+        }
+    }
+    pressure_view view;
+    for (const auto& [service, entry] : lowest)
     {
-        add(level);
+        view.services.push_back(entry);
     }
     return view;
 }
@@ -199,8 +207,9 @@
     }
     try
     {
-        const submit_decision decision = follower->submit(
-            request.content, sheet_version(request.base), request.author);
+        const submit_decision decision =
+            follower->submit(request.content, sheet_version(request.base), request.author,
+                             request.submit_id);
         std::visit(decision_writer{result}, decision);
     }
     catch (const log_unavailable_error& problem)
--- a/src/node/operator_port.cpp
+++ b/src/node/operator_port.cpp
@@ -63,6 +63,22 @@
     throw codec_error(fmt::format("member \"state\" has no state \"{}\"", text));
 }
 
+// Ids stand in every copy of the log record and in the results that nodes keep.
+constexpr std::size_t max_submit_text_bytes = 200;
+
+submit_request parse_submit(const std::string& text)
+{
+    auto request = parse_body<submit_request>(text);
+    if (request.submit_id.size() > max_submit_text_bytes ||
+        request.author.size() > max_submit_text_bytes)
+    {
+        throw codec_error(
+            fmt::format("members \"author\" and \"submit_id\" have at most {} bytes",
+                        max_submit_text_bytes));
+    }
+    return request;
+}
+
 void respond_json(httplib::Response& response, const std::string& body, int status = 200)
 {
     response.status = status;
@@ -132,13 +148,19 @@
         if (!server_.bind_to_port(listen.address, listen.port))
         {
             throw address_error(
-                fmt::format("cannot listen on {} (operator port)", to_string(listen)));
+                fmt::format("cannot listen on {}: the address is in use, or not one of "
+                            "this machine",
+                            to_string(listen)));
         }
-        thread_ = std::thread([this] { server_.listen_after_bind(); });
     }
 
     ~impl() { stop(); }
 
+    void start()
+    {
+        thread_ = std::thread([this] { server_.listen_after_bind(); });
+    }
+
     void stop()
     {
         if (thread_.joinable())
@@ -177,7 +199,7 @@
                      {
                          try
                          {
-                             const auto submit = parse_body<submit_request>(in.body);
+                             const submit_request submit = parse_submit(in.body);
                              respond_json(out, to_body(functions_.submit(submit)));
                          }
                          catch (const codec_error& problem)
@@ -262,6 +284,11 @@
 
 operator_port::~operator_port() = default;
 
+void operator_port::start()
+{
+    impl_->start();
+}
+
 void operator_port::stop()
 {
     impl_->stop();
--- a/src/state/config_follower.cpp
+++ b/src/state/config_follower.cpp
@@ -207,12 +207,21 @@
 }
 
 submit_decision config_follower::submit(const std::string& content, sheet_version base,
-                                        const std::string& author)
+                                        const std::string& author,
+                                        const std::string& submit_id)
 {
-    submit_record record{"", base, author, content};
+    submit_record record{submit_id, base, author, content};
     {
         const std::lock_guard<std::mutex> lock(mutex_);
-        record.submit_id = fmt::format("{}-{}", id_prefix_, ++submit_counter_);
+        if (record.submit_id.empty())
+        {
+            record.submit_id = fmt::format("{}-{}", id_prefix_, ++submit_counter_);
+        }
+        auto known = state_.table().result(record.submit_id);
+        if (is_decided(known))
+        {
+            return known;
+        }
     }
     struct following_scope
     {
--- a/src/state/config_test.cpp
+++ b/src/state/config_test.cpp
@@ -225,6 +225,31 @@
     cr_assert_eq(seen.front(), 3, "a reader that catches up publishes no old version");
 }
 
+// Guards against a submit that counts twice, or loses against itself, when a tool sends
+// it again through the same or another node.
+Test(config, repeated_submit_id_gets_the_first_decision)
+{
+    memory_log_service log;
+    config_follower first(log, fast_options(), {});
+    config_follower second(log, fast_options(), {});
+    const auto submit = [](config_follower& at, const char* id)
+    {
+        return at.submit("content", sheet_version(0), "ana", id);
+    };
+    cr_assert(std::get<submit_accepted>(submit(first, "id-1")).version ==
+              sheet_version(1));
+    cr_assert(std::get<submit_accepted>(submit(first, "id-1")).version ==
+              sheet_version(1));
+    cr_assert_eq(log.append_count(), 1, "the decision was known, nothing is appended");
+    cr_assert(std::get<submit_accepted>(submit(second, "id-1")).version ==
+              sheet_version(1));
+    const auto lost = std::get<submit_lost>(submit(second, "id-2"));
+    cr_assert_str_eq(lost.winner_id.c_str(), "id-1");
+    cr_assert(std::holds_alternative<submit_lost>(submit(first, "")),
+              "an empty id is a new submit");
+    cr_assert(second.current()->version == sheet_version(1));
+}
+
 // Guards against a sheet that is dropped by retention while nobody changes it.
 Test(config, sheet_is_carried_past_retention)
 {
--- a/testsuite/fleet.py
+++ b/testsuite/fleet.py
@@ -6,6 +6,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -13,11 +14,24 @@
 import time
 
 
+# The kernel takes the ports of outgoing connections from 32768 on; a port from there may
+# be in use again before the process that is to listen on it has started.
+FIRST_PORT, LAST_PORT = 10000, 32000
+_handed_out = set()
+
+
 def free_port(kind=socket.SOCK_STREAM):
-    """Returns a loopback port that was free a moment ago."""
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a loopback port that is free and was not returned before."""
+    while True:
+        port = random.SystemRandom().randrange(FIRST_PORT, LAST_PORT)
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in _handed_out:
+            _handed_out.add(port)
+            return port
 
 
 def http_json(port, method, path, body=None, timeout=10):
