Refuse sends on a full link instead of closing it

Cause: five answers of the largest size at once went over the backlog limit and would have closed the link under all other calls. Ruled out: a limit on unacknowledged bytes counted by pings, because a fast link passes it in normal use. Change: send returns false while the backlog is over the limit; the link is closed when it stays over it for the silence limit. Signatures take constant references.

--- a/src/include/fescueridge/transport/http_client_pool.hpp
+++ b/src/include/fescueridge/transport/http_client_pool.hpp
@@ -82,7 +82,8 @@
     /// Called exactly once for each request, on an io thread, never from inside send().
     using callback = std::function<void(http_result)>;
 
-    http_client_pool(asio::io_context& io, endpoint target, connection_count limit);
+    http_client_pool(asio::io_context& io, const endpoint& target,
+                     connection_count limit);
 
     /// Closes the pool.
     ~http_client_pool();
@@ -93,7 +94,8 @@
     /// Sends a request on an idle connection, on a new one, or, when all are busy, as
     /// soon as one is free (first come, first served). The timeout covers the waiting
     /// time as well.
-    http_call_handle send(http_request request, milliseconds timeout, callback done);
+    http_call_handle send(const http_request& request, milliseconds timeout,
+                          callback done);
 
     /// Opens connections in the background until n (at most the limit) are open.
     void warm(std::size_t n);
--- a/src/include/fescueridge/transport/link_hub.hpp
+++ b/src/include/fescueridge/transport/link_hub.hpp
@@ -35,8 +35,9 @@
     link& operator=(const link&) = delete;
     virtual ~link() = default;
 
-    /// Queues a message. Returns false when the link is closed, so that the message was
-    /// certainly not sent; true does not promise that it arrives.
+    /// Queues a message. Returns false when the message was certainly not sent: the link
+    /// is closed, the message is over max_frame_bytes, or the peer has left too many
+    /// bytes unread. True does not promise that the message arrives.
     virtual bool send(const link_message& message) = 0;
 
     /// Returns the hello of the peer.
@@ -132,7 +133,7 @@
     /// Opens a link to the link endpoint of a peer, unless a dialled link to it is open
     /// or being opened; `done` gets that one then. `done` is never called from inside
     /// dial().
-    void dial(const endpoint& target, dial_callback done = {});
+    void dial(const endpoint& target, const dial_callback& done = {});
 
     /// Returns an open link to the node, dialled or accepted, or null.
     link_ptr find(const node_id& node) const;
--- a/src/transport/http_client_pool.cpp
+++ b/src/transport/http_client_pool.cpp
@@ -326,7 +326,7 @@
         pool->abort(call, http_failure_kind::cancelled);
 }
 
-http_client_pool::http_client_pool(asio::io_context& io, endpoint target,
+http_client_pool::http_client_pool(asio::io_context& io, const endpoint& target,
                                    connection_count limit)
     : impl_(std::make_shared<detail::http_client_pool_impl>(io, target, limit))
 {
@@ -337,7 +337,7 @@
     impl_->close();
 }
 
-http_call_handle http_client_pool::send(http_request request, milliseconds timeout,
+http_call_handle http_client_pool::send(const http_request& request, milliseconds timeout,
                                         callback done)
 {
     return impl_->send(request, timeout, std::move(done));
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -119,7 +119,7 @@
     }
 
     void start();
-    void answer(http_response response);
+    void answer(const http_response& response);
     void abort();
     strand_type strand() { return socket_.get_executor(); }
 
@@ -216,9 +216,9 @@
 private:
     void give(http_response response)
     {
-        asio::dispatch(connection_->strand(), [connection = connection_,
-                                               response = std::move(response)]() mutable
-                       { connection->answer(std::move(response)); });
+        asio::dispatch(connection_->strand(),
+                       [connection = connection_, response = std::move(response)]
+                       { connection->answer(response); });
     }
 
     std::shared_ptr<server_connection> connection_;
@@ -309,7 +309,7 @@
     write(plain_response(status_of(kind), parser_.problem()), false);
 }
 
-void server_connection::answer(http_response response)
+void server_connection::answer(const http_response& response)
 {
     if (closed_ || writing_)
         return;
--- a/src/transport/link_hub.cpp
+++ b/src/transport/link_hub.cpp
@@ -81,6 +81,7 @@
     std::atomic<bool> upgraded_{false};
     std::atomic<time_point> last_received_{clock::now()};
     time_point next_ping_{};
+    time_point last_not_full_ = clock::now();
 };
 
 class link_hub_impl : public std::enable_shared_from_this<link_hub_impl>
@@ -101,7 +102,7 @@
 
     void listen(const endpoint& where);
     void start_timer();
-    void dial(const endpoint& target, link_hub::dial_callback done);
+    void dial(const endpoint& target, const link_hub::dial_callback& done);
     void accepted(const websocket_ptr& connection);
     void opened(const std::shared_ptr<link_impl>& link);
     void ended(const std::shared_ptr<link_impl>& link);
@@ -190,10 +191,7 @@
 bool link_impl::write(const link_message& message)
 {
     if (connection_->get_buffered_amount() > max_backlog_bytes)
-    {
-        end_soon(fault(link_fault_kind::backlog, "peer does not read"));
         return false;
-    }
     const auto bytes = encode_frame({hub_->events_.stamp(), message});
     if (bytes.size() > max_frame_bytes)
         return false;
@@ -285,6 +283,10 @@
         return;
     if (silent_for > hub_->options_.silence_limit)
         return end_soon(fault(link_fault_kind::silent, "nothing received in time"));
+    if (connection_->get_buffered_amount() <= max_backlog_bytes)
+        last_not_full_ = now;
+    if (now - last_not_full_ > hub_->options_.silence_limit)
+        return end_soon(fault(link_fault_kind::backlog, "peer does not read"));
     if (now < next_ping_)
         return;
     next_ping_ = now + hub_->options_.ping_interval;
@@ -376,7 +378,7 @@
     return found == links_.end() ? nullptr : *found;
 }
 
-void link_hub_impl::dial(const endpoint& target, link_hub::dial_callback done)
+void link_hub_impl::dial(const endpoint& target, const link_hub::dial_callback& done)
 {
     websocketpp::lib::error_code ec;
     websocket_ptr connection;
@@ -386,7 +388,7 @@
         link = closed_ ? nullptr : find_dialled(target);
         if (link && !link->is_open())
         {
-            link->waiters_.push_back(std::move(done));
+            link->waiters_.push_back(done);
             return;
         }
         if (!link && !closed_)
@@ -396,7 +398,7 @@
         {
             link =
                 std::make_shared<link_impl>(shared_from_this(), connection, target, true);
-            link->waiters_.push_back(std::move(done));
+            link->waiters_.push_back(done);
             links_.insert(link);
         }
     }
@@ -405,7 +407,7 @@
     if (!link)
         return dial_failed(target, ec ? ec.message() : "closed", done);
     if (done)
-        asio::post(io_, [done = std::move(done), link] { done(link); });
+        asio::post(io_, [done, link] { done(link); });
 }
 
 void link_hub_impl::connect(const std::shared_ptr<link_impl>& link,
@@ -536,9 +538,9 @@
     return impl_->bound_;
 }
 
-void link_hub::dial(const endpoint& target, dial_callback done)
+void link_hub::dial(const endpoint& target, const dial_callback& done)
 {
-    impl_->dial(target, std::move(done));
+    impl_->dial(target, done);
 }
 
 link_ptr link_hub::find(const node_id& node) const
--- a/testsuite/transport_latency/main.cpp
+++ b/testsuite/transport_latency/main.cpp
@@ -181,7 +181,8 @@
     {
         events_.echo(false);
         std::promise<link_ptr> opened;
-        entry_.dial(executing_.bound(), [&](link_ptr link) { opened.set_value(link); });
+        entry_.dial(executing_.bound(),
+                    [&](const link_ptr& link) { opened.set_value(link); });
         link_ = opened.get_future().get();
     }
 
