--- a/src/include/fescueridge/transport/link_hub.hpp
+++ b/src/include/fescueridge/transport/link_hub.hpp
@@ -90,7 +90,7 @@
     /// Hello, ping and pong are handled inside and not passed on.
     std::function<void(link_ptr, link_message)> on_message;
 
-    /// Called once for each link that was opened.
+    /// Called once for each link that was opened, unless the hub itself was closed.
     std::function<void(link_ptr)> on_close;
 
     std::function<void(const link_fault&)> on_fault;
@@ -120,8 +120,8 @@
     link_hub(asio::io_context& io, const endpoint& listen, hello_source hello,
              event_log& events, link_callbacks callbacks, link_options options = {});
 
-    /// Closes the hub. Callbacks that run at that moment on other threads may still
-    /// finish; none starts afterwards.
+    /// Closes the hub. Functions of link_callbacks that run at that moment on other
+    /// threads may still finish; none starts afterwards.
     ~link_hub();
 
     link_hub(const link_hub&) = delete;
@@ -141,7 +141,8 @@
     /// Returns all open links.
     std::vector<link_ptr> links() const;
 
-    /// Closes the listening socket and all links.
+    /// Closes the listening socket and all links. Waiting dials get null; on_close is not
+    /// called for the links.
     void close();
 
 private:
--- a/src/transport/client_connection.cpp
+++ b/src/transport/client_connection.cpp
@@ -134,6 +134,9 @@
     reading_ = false;
     if (closed_)
         return;
+    // A wait may end without data when an earlier read has taken it already.
+    if (!call_ && !ec && !readable_or_closed())
+        return read();
     if (!call_)
         return shut();
     thread_local std::array<char, read_size> buffer;
@@ -156,7 +159,7 @@
     if (parser_.status_code() == 101)
         return fail(http_failure_kind::malformed, true, "unexpected protocol switch");
     if (parser_.status_code() / 100 != 1)
-        return on_answer(used == size && parser_.keep_alive() && !writing_);
+        return on_answer(used == size && parser_.keep_alive());
     // An interim answer (100, 102, 103) precedes the real one.
     parser_.reset(call_->head_);
     if (used == size)
@@ -169,23 +172,41 @@
     const auto call = std::exchange(call_, nullptr);
     auto response = parser_.take_response();
     if (reusable)
-    {
-        read();
-        owner_->became_idle(shared_from_this());
-    }
+        reuse();
     else
-    {
         shut();
-    }
     call->finish(std::move(response));
 }
 
+// The answer can be read before the event loop reports the end of the write. The
+// connection is free only after that report.
+void client_connection::reuse()
+{
+    read();
+    if (!writing_)
+        return owner_->became_idle(shared_from_this());
+    idle_after_write_ = true;
+    open_timer_.expires_after(open_timeout);
+    open_timer_.async_wait(
+        [self = shared_from_this()](asio::error_code ec)
+        {
+            if (!ec && self->idle_after_write_)
+                self->shut();
+        });
+}
+
 void client_connection::on_written(asio::error_code ec, std::size_t size)
 {
     writing_.reset();
-    if (ec && !closed_ && call_)
-        fail(size == 0 ? http_failure_kind::not_sent : http_failure_kind::cut, size != 0,
-             ec.message());
+    if (closed_)
+        return;
+    if (ec)
+        return fail(size == 0 ? http_failure_kind::not_sent : http_failure_kind::cut,
+                    size != 0, ec.message());
+    if (!std::exchange(idle_after_write_, false))
+        return;
+    open_timer_.cancel();
+    owner_->became_idle(shared_from_this());
 }
 
 void client_connection::abort(const call_ptr& call, http_failure_kind kind)
--- a/src/transport/client_connection.hpp
+++ b/src/transport/client_connection.hpp
@@ -95,6 +95,7 @@
     void on_written(asio::error_code ec, std::size_t size);
     void on_answer_bytes(const char* data, std::size_t size);
     void on_answer(bool reusable);
+    void reuse();
     void fail(http_failure_kind kind, bool sent, std::string detail);
     void shut();
 
@@ -105,6 +106,7 @@
     call_ptr call_;
     call_ptr writing_;
     bool reading_ = false;
+    bool idle_after_write_ = false;
     bool connected_ = false;
     bool closed_ = false;
 };
