Test routing and compare domains by slots in use

Cause: the balancer had no tests. With two own and two remote servers and light load, over 5% of the calls left the own domain: three calls in flight made an own server look worse than an idle remote one by the factor 3. Ruled out: a larger factor, since it would also hold calls in a domain whose servers are slow. Change: between domains, calls in flight count by the slots; between servers of one domain the count stays. Unit tests with a small open loop for shares, stragglers, slow start, leaving servers, refusals, hedging and pool size. Conclusion: the balancer can be used by the node.

--- a/src/include/fescueridge/routing/detail/server_record.hpp
+++ b/src/include/fescueridge/routing/detail/server_record.hpp
@@ -54,11 +54,19 @@
     /// Returns the weight for slow start and stragglers, up to 1.
     double weight(time_point now) const;
 
-    /// Returns the score for the choice; lower is better. Refusals and quick failures
-    /// count as work that has to be done again, or a server that refuses everything at
-    /// once would look like the fastest.
+    /// Returns the expected time of a call, with the weight and the refusals. Refusals
+    /// and quick failures count as work that has to be done again, or a server that
+    /// refuses everything at once would look like the fastest.
+    double cost(time_point now) const;
+
+    /// Returns the score for the choice between two servers; lower is better.
     double score(time_point now) const;
 
+    /// Returns the score for the choice between domains. Calls in flight count by the
+    /// slots: with plain counts, three calls in flight would make an own server worse
+    /// than an idle one in another domain.
+    double domain_score(time_point now) const;
+
     /// Records a measured latency.
     void add_sample(double us, time_point now);
 
--- a/src/overload/admission.cpp
+++ b/src/overload/admission.cpp
@@ -468,7 +468,7 @@
 
 void admission_queue::set_policy(limit_policy policy)
 {
-    policy_ = policy;
+    policy_ = std::move(policy);
 }
 
 queue_window admission_queue::take_window()
--- a/src/overload/pressure_table.cpp
+++ b/src/overload/pressure_table.cpp
@@ -109,7 +109,8 @@
         // The executing node updates its level at this interval, so a report is current
         // for as long.
         const auto unrefreshed = now - last_report - level_interval;
-        const double age = std::max<double>(0, unrefreshed.count());
+        const double age =
+            std::max(0.0, std::chrono::duration<double, std::milli>(unrefreshed).count());
         double regained = deficit_of(admitted) * (1 - std::exp2(-age / half_life_ms));
         shares result = admitted;
         for (double& share : result)
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -266,9 +266,9 @@
     {
         return std::nullopt;
     }
-    const bool leave =
-        own == nullptr ||
-        (remote != nullptr && own->score(now) > domain_factor * remote->score(now));
+    const bool leave = own == nullptr || (remote != nullptr &&
+                                          own->domain_score(now) >
+                                              domain_factor * remote->domain_score(now));
     return leave ? remote->member.node : own->member.node;
 }
 
--- /dev/null
+++ b/src/routing/balancer_test.cpp
@@ -0,0 +1,321 @@
+#include "fescueridge/routing/balancer.hpp"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <map>
+#include <queue>
+
+using namespace fescueridge;
+using std::chrono::microseconds;
+
+namespace
+{
+
+time_point at(std::int64_t ms)
+{
+    return time_point{milliseconds{1'000'000 + ms}};
+}
+
+server_member member(const std::string& name, const std::string& domain = "a",
+                     server_state state = server_state::ready)
+{
+    server_member result;
+    result.node = node_id{name};
+    result.domain = domain_name{domain};
+    result.state = state;
+    result.slots = slot_count{25};
+    result.number = incarnation{1};
+    return result;
+}
+
+/// Open-loop calls through one balancer to servers with random latencies.
+class call_loop
+{
+public:
+    explicit call_loop(std::vector<server_member> servers) : members(std::move(servers))
+    {
+        balancer.update(members, at(0));
+    }
+
+    /// Sends `rate` calls each ms for a time. Clears the counts before.
+    void run(std::int64_t length_ms, double rate)
+    {
+        counts.clear();
+        latencies.clear();
+        const auto end = now_ms + length_ms;
+        for (; now_ms < end; ++now_ms)
+        {
+            finish();
+            const int calls = std::poisson_distribution<int>(rate)(random);
+            for (int i = 0; i < calls; ++i)
+            {
+                send();
+            }
+        }
+    }
+
+    double share(const std::string& name)
+    {
+        double total = 0;
+        for (const auto& [node, count] : counts)
+        {
+            total += count;
+        }
+        return counts[name] / total;
+    }
+
+    std::map<std::string, double> mean_ms; // under 0: never answers
+    std::map<std::string, int> counts;
+    std::vector<double> latencies;
+    std::int64_t now_ms = 0;
+    std::vector<server_member> members;
+    random_engine random{1};
+    backend_server_balancer balancer{domain_name{"a"}};
+
+private:
+    struct pending
+    {
+        std::int64_t end_ms;
+        node_id node;
+        started_call call;
+        std::int64_t start_ms;
+        bool operator<(const pending& other) const { return end_ms > other.end_ms; }
+    };
+
+    void send()
+    {
+        const auto node = balancer.choose(at(now_ms), random);
+        if (!node)
+        {
+            return;
+        }
+        ++counts[node->get()];
+        const auto call = balancer.on_start(*node, at(now_ms));
+        const double mean = mean_ms.count(node->get()) ? mean_ms[node->get()] : 10;
+        if (mean < 0)
+        {
+            return;
+        }
+        const double ms = std::gamma_distribution<double>(4, mean / 4)(random);
+        const auto whole = std::max<std::int64_t>(1, std::llround(ms));
+        running.push({now_ms + whole, *node, call, now_ms});
+    }
+
+    void finish()
+    {
+        while (!running.empty() && running.top().end_ms <= now_ms)
+        {
+            const auto done = running.top();
+            running.pop();
+            const auto ms = done.end_ms - done.start_ms;
+            latencies.push_back(static_cast<double>(ms));
+            balancer.on_finish(done.node, done.call, milliseconds{ms}, outcome::ok, {},
+                               at(now_ms));
+        }
+    }
+
+    std::priority_queue<pending> running;
+};
+
+double quantile(std::vector<double> values, double part)
+{
+    std::sort(values.begin(), values.end());
+    return values[static_cast<std::size_t>(part * static_cast<double>(values.size()))];
+}
+
+std::vector<server_member> four()
+{
+    return {member("1"), member("2"), member("3"), member("4")};
+}
+
+server_view view_of(call_loop& loop, const std::string& name)
+{
+    for (const auto& row : loop.balancer.view(at(loop.now_ms)))
+    {
+        if (row.node.get() == name)
+        {
+            return row;
+        }
+    }
+    return {};
+}
+
+} // namespace
+
+// Guards against servers that get more or less than their part when all are alike.
+Test(routing_balancer, equal_servers_get_equal_shares)
+{
+    call_loop loop{four()};
+    loop.run(5'000, 2);
+    for (const auto& each : loop.members)
+    {
+        const double share = loop.share(each.node.get());
+        cr_assert_geq(share, 0.2, "%.3f", share);
+        cr_assert_leq(share, 0.3, "%.3f", share);
+    }
+}
+
+// Guards against a server that is 20 times slower and holds up its callers: 99th
+// percentile at most 1.5 times that without it, once it is found; and against one that
+// never comes back after it recovered.
+Test(routing_balancer, straggler_is_avoided_and_comes_back)
+{
+    call_loop loop{four()};
+    loop.run(5'000, 2);
+    const double before = quantile(loop.latencies, 0.99);
+    loop.mean_ms["1"] = 200;
+    loop.run(500, 2);
+    loop.run(10'000, 2);
+    const double during = quantile(loop.latencies, 0.99);
+    cr_assert_leq(during, 1.5 * before, "%.0f ms, before %.0f ms", during, before);
+    cr_assert_leq(loop.share("1"), 0.006, "%.4f", loop.share("1"));
+    cr_assert(view_of(loop, "1").straggler);
+    loop.mean_ms["1"] = 10;
+    loop.run(10'000, 2);
+    loop.run(2'000, 2);
+    cr_assert_geq(loop.share("1"), 0.15, "%.3f", loop.share("1"));
+}
+
+// Guards against a server that never answers: it gives no latency sample, so its running
+// calls must count.
+Test(routing_balancer, server_that_never_answers_is_found)
+{
+    call_loop loop{four()};
+    loop.run(2'000, 2);
+    loop.mean_ms["1"] = -1;
+    loop.run(300, 2);
+    loop.run(5'000, 2);
+    cr_assert_leq(loop.share("1"), 0.001, "%.4f", loop.share("1"));
+}
+
+// Guards against healthy servers that are taken for stragglers by chance.
+Test(routing_balancer, random_latency_makes_no_straggler)
+{
+    call_loop loop{four()};
+    for (int i = 0; i < 200; ++i)
+    {
+        loop.run(100, 1);
+        for (const auto& row : loop.balancer.view(at(loop.now_ms)))
+        {
+            cr_assert_not(row.straggler);
+        }
+    }
+}
+
+// Guards against calls that leave the domain without need, or stay in it when its servers
+// are slow or gone.
+Test(routing_balancer, own_domain_first)
+{
+    call_loop loop{{member("1"), member("2"), member("3", "b"), member("4", "b")}};
+    loop.run(3'000, 0.5);
+    cr_assert_leq(loop.share("3") + loop.share("4"), 0.05);
+    loop.mean_ms["1"] = 100;
+    loop.mean_ms["2"] = 100;
+    loop.run(3'000, 0.5);
+    loop.run(3'000, 0.5);
+    cr_assert_geq(loop.share("3") + loop.share("4"), 0.8);
+    loop.balancer.on_link_broken(node_id{"1"}, at(loop.now_ms));
+    loop.balancer.on_link_broken(node_id{"2"}, at(loop.now_ms));
+    loop.run(500, 0.5);
+    cr_assert_eq(loop.share("3") + loop.share("4"), 1);
+}
+
+// Guards against new work for a server that leaves or is gone.
+Test(routing_balancer, leaving_servers_get_nothing)
+{
+    call_loop loop{four()};
+    loop.members[0].state = server_state::draining;
+    loop.members[1].state = server_state::gone;
+    loop.balancer.update(loop.members, at(0));
+    loop.balancer.on_refused(node_id{"3"}, refusal_reason::draining, at(0));
+    loop.run(900, 1);
+    cr_assert_eq(loop.share("4"), 1);
+    const auto none = loop.balancer.choose(at(900), loop.random, {node_id{"4"}});
+    cr_assert_not(none.has_value());
+    loop.run(1'000, 1);
+    cr_assert_geq(loop.share("3"), 0.2);
+    loop.members.pop_back();
+    loop.balancer.update(loop.members, at(loop.now_ms));
+    loop.run(100, 1);
+    cr_assert_eq(loop.share("3"), 1);
+}
+
+// Guards against a cold server that gets a full share at once.
+Test(routing_balancer, cold_server_starts_slowly)
+{
+    call_loop loop{four()};
+    loop.run(1'000, 2);
+    loop.members[0].number = incarnation{2};
+    loop.members[0].state = server_state::cold;
+    loop.balancer.update(loop.members, at(loop.now_ms));
+    cr_assert_float_eq(view_of(loop, "1").weight, 0.1, 0.01);
+    loop.run(500, 2);
+    cr_assert_leq(loop.share("1"), 0.1, "%.3f", loop.share("1"));
+    loop.run(10'000, 2);
+    cr_assert_float_eq(view_of(loop, "1").weight, 1.0, 0.01);
+}
+
+// Guards against a server that looks fast because it refuses or fails everything at once.
+Test(routing_balancer, quick_refusals_do_not_attract_calls)
+{
+    backend_server_balancer balancer{domain_name{"a"}};
+    balancer.update({member("1"), member("2")}, at(0));
+    random_engine random{1};
+    int refused = 0;
+    for (int ms = 0; ms < 2'000; ++ms)
+    {
+        const auto node = balancer.choose(at(ms), random);
+        const auto call = balancer.on_start(*node, at(ms));
+        const bool first = node->get() == "1";
+        refused += first ? 1 : 0;
+        if (first)
+        {
+            balancer.on_finish(*node, call, microseconds{100}, outcome::not_run,
+                               refusal_reason::overload, at(ms));
+            balancer.on_refused(*node, refusal_reason::overload, at(ms));
+        }
+        else
+        {
+            balancer.on_finish(*node, call, milliseconds{10}, outcome::ok, {}, at(ms));
+        }
+    }
+    cr_assert_leq(refused, 200, "%d", refused);
+}
+
+// Guards against hedges that start too early, or on too few measurements.
+Test(routing_balancer, hedge_delay_is_the_95th_percentile)
+{
+    backend_server_balancer balancer{domain_name{"a"}};
+    balancer.update({member("1")}, at(0));
+    for (int i = 0; i < 1'000; ++i)
+    {
+        cr_assert_eq(balancer.hedge_delay(at(0)).has_value(), i >= 20);
+        const auto call = balancer.on_start(node_id{"1"}, at(0));
+        balancer.on_finish(node_id{"1"}, call, milliseconds{1 + i % 100}, outcome::ok, {},
+                           at(0));
+    }
+    const auto delay = balancer.hedge_delay(at(0))->count();
+    cr_assert_geq(delay, 95, "%d", static_cast<int>(delay));
+    cr_assert_leq(delay, 106, "%d", static_cast<int>(delay));
+    cr_assert_not(balancer.hedge_delay(at(20'000)).has_value());
+}
+
+// Guards against pools that are too small for the next burst or never shrink.
+Test(routing_balancer, pool_follows_the_recent_peak)
+{
+    backend_server_balancer balancer{domain_name{"a"}};
+    balancer.update({member("1")}, at(0));
+    const node_id node{"1"};
+    std::vector<started_call> calls;
+    for (int i = 0; i < 30; ++i)
+    {
+        calls.push_back(balancer.on_start(node, at(0)));
+    }
+    for (const auto call : calls)
+    {
+        balancer.on_finish(node, call, milliseconds{10}, outcome::ok, {}, at(10));
+    }
+    cr_assert_eq(balancer.pool_size_target(node, at(9'000)), 30);
+    cr_assert_eq(balancer.pool_size_target(node, at(30'000)), 1);
+}
--- a/src/routing/server_record.cpp
+++ b/src/routing/server_record.cpp
@@ -82,11 +82,21 @@
     return value;
 }
 
-double server_record::score(time_point now) const
+double server_record::cost(time_point now) const
 {
     const double success = std::max(least_success, 1 - refusals);
-    const auto calls = static_cast<double>(running.size() + 1);
-    return calls * estimate_us / (weight(now) * success);
+    return estimate_us / (weight(now) * success);
+}
+
+double server_record::score(time_point now) const
+{
+    return static_cast<double>(running.size() + 1) * cost(now);
+}
+
+double server_record::domain_score(time_point now) const
+{
+    const double slots = std::max(1U, member.slots.get());
+    return (1 + static_cast<double>(running.size()) / slots) * cost(now);
 }
 
 void server_record::add_sample(double us, time_point now)
