--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,9 @@
 test: build
 	@scripts/run_tests.sh $(BUILD)
 
+check-spec:
+	@spec/run.sh $(BUILD)
+
 format:
 	@git ls-files -z -- '*.cpp' '*.hpp' | xargs -0 clang-format -i
 
