Share the carry delay between sheet and claims

Change: carry_timer; decisions are passed by reference as the linter asks. Conclusion: no change of behaviour.

--- a/src/include/fescueridge/state/claim_client.hpp
+++ b/src/include/fescueridge/state/claim_client.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "fescueridge/base/random.hpp"
+#include "fescueridge/state/carry_timer.hpp"
 #include "fescueridge/state/claims.hpp"
 #include "fescueridge/state/stream_follower.hpp"
 
@@ -124,7 +125,7 @@
     std::optional<time_point> next_deadline() const;
     void on_page(const log_page& page);
     void on_truncated(log_offset oldest);
-    void decide(std::vector<claim_decision> decisions);
+    void decide(const std::vector<claim_decision>& decisions);
     void carry_if_due();
     void report(const std::string& name, const std::string& reason) const;
 
@@ -144,7 +145,7 @@
     std::vector<void_entry> voids_;
     std::vector<done_entry> dones_;
     std::optional<time_point> done_due_;
-    std::optional<time_point> carry_due_;
+    carry_timer carry_timer_;
     claims_state state_;
     std::optional<stream_follower> follower_;
     std::thread writer_;
--- a/src/include/fescueridge/state/config_follower.hpp
+++ b/src/include/fescueridge/state/config_follower.hpp
@@ -9,6 +9,7 @@
 #include <variant>
 
 #include "fescueridge/base/random.hpp"
+#include "fescueridge/state/carry_timer.hpp"
 #include "fescueridge/state/config_state.hpp"
 #include "fescueridge/state/stream_follower.hpp"
 
@@ -93,7 +94,7 @@
     std::condition_variable changed_;
     config_state state_;
     std::optional<sheet_in_force> in_force_;
-    std::optional<time_point> carry_due_;
+    carry_timer carry_timer_;
     bool caught_up_ = false;
     bool following_ = false;
     bool stopping_ = false;
--- a/src/state/claim_client.cpp
+++ b/src/state/claim_client.cpp
@@ -348,7 +348,7 @@
         report("claims_record_malformed",
                fmt::format("offset {}: {}", problem.offset.get(), problem.reason));
     }
-    decide(std::move(decisions));
+    decide(decisions);
     carry_if_due();
 }
 
@@ -358,14 +358,14 @@
         const std::lock_guard<std::mutex> lock(mutex_);
         state_.restart(oldest);
         caught_up_ = false;
-        carry_due_.reset();
+        carry_timer_.reset();
     }
     report("log_truncated", fmt::format("reading goes on at offset {}", oldest.get()));
 }
 
 /// Passes decisions on to the calls of this node that still wait. spec/claims.pml, label
 /// read_back: only the own record in the log decides, never the answer to the append.
-void claim_client::decide(std::vector<claim_decision> decisions)
+void claim_client::decide(const std::vector<claim_decision>& decisions)
 {
     for (const claim_decision& decision : decisions)
     {
@@ -398,30 +398,18 @@
     }
 }
 
-/// Appends the table when the record that fresh readers start from gets old; the random
-/// delay lets one node be first.
+/// Appends the table when the record that fresh readers start from gets old.
 void claim_client::carry_if_due()
 {
     claims_record carry;
     {
         const std::lock_guard<std::mutex> lock(mutex_);
-        if (!caught_up_ || !state_.needs_carry(wall_clock_ms(), options_.retention))
+        const bool needed =
+            caught_up_ && state_.needs_carry(wall_clock_ms(), options_.retention);
+        if (!carry_timer_.is_due(needed, clock::now(), options_.retention, random_))
         {
-            carry_due_.reset();
             return;
         }
-        const time_point now = clock::now();
-        if (!carry_due_)
-        {
-            std::uniform_int_distribution<std::int64_t> delay(
-                0, options_.retention.count() / 8);
-            carry_due_ = now + milliseconds(delay(random_));
-        }
-        if (now < *carry_due_)
-        {
-            return;
-        }
-        carry_due_.reset();
         carry = state_.table().to_carry(state_.next());
     }
     try
--- a/src/state/config_follower.cpp
+++ b/src/state/config_follower.cpp
@@ -127,7 +127,7 @@
     {
         const std::lock_guard<std::mutex> lock(mutex_);
         state_.restart(oldest);
-        carry_due_.reset();
+        carry_timer_.reset();
     }
     report("log_truncated", fmt::format("reading goes on at offset {}", oldest.get()));
 }
@@ -146,30 +146,18 @@
     }
 }
 
-/// Appends the sheet again when its carrying record gets old. The random delay lets one
-/// reader be first; the others see its carry and drop theirs.
+/// Appends the sheet again when the record that fresh readers start from gets old.
 void config_follower::carry_if_due()
 {
     sheet_carry_record carry;
     {
         const std::lock_guard<std::mutex> lock(mutex_);
-        if (!caught_up_ || !state_.needs_carry(wall_clock_ms(), options_.retention))
+        const bool needed =
+            caught_up_ && state_.needs_carry(wall_clock_ms(), options_.retention);
+        if (!carry_timer_.is_due(needed, clock::now(), options_.retention, random_))
         {
-            carry_due_.reset();
             return;
         }
-        const time_point now = clock::now();
-        if (!carry_due_)
-        {
-            std::uniform_int_distribution<std::int64_t> delay(
-                0, options_.retention.count() / 8);
-            carry_due_ = now + milliseconds(delay(random_));
-        }
-        if (now < *carry_due_)
-        {
-            return;
-        }
-        carry_due_.reset();
         carry = {state_.table().version(), state_.next(), state_.table().content()};
     }
     try
