Test restarts and the traffic budget of gossip

Cause: an ordinary restart at the same address and the byte budget had no test. Ruled out: a test at the design size, which takes minutes for each run. Change: two more tests of gossip_core.

--- a/src/membership/gossip_test.cpp
+++ b/src/membership/gossip_test.cpp
@@ -236,6 +236,46 @@
     cr_assert(fleet.run(seconds(2), known));
 }
 
+// Guards against a restarted node, with a higher incarnation at its old address, that is
+// held for dead or for its predecessor.
+Test(gossip, restarted_node_replaces_its_predecessor)
+{
+    gossip_fleet fleet(92);
+    settle(fleet, 12);
+    fleet.stop(6);
+    fleet.run(milliseconds(700));
+    fleet.start_at(6, "n6", {gossip_fleet::address(0)}, 5000);
+    const auto known = [&]
+    {
+        const auto view = fleet[2].find(node_id("n6"));
+        return view->status == liveness::alive &&
+               view->record.number == incarnation(5000);
+    };
+    cr_assert(fleet.run(seconds(2), known));
+    fleet.run(seconds(5));
+    cr_assert(fleet.converged());
+}
+
+// Guards against traffic above the control budget of 4 KB/s per node, both in quiet times
+// and while one member is replaced every 5 s (the design has one every 45 s).
+Test(gossip, traffic_stays_in_budget)
+{
+    gossip_fleet fleet(95);
+    settle(fleet, 100);
+    fleet.run(seconds(12));
+    fleet.bytes = 0;
+    fleet.run(seconds(10));
+    cr_assert(fleet.bytes / 100 / 10 < 400, "%zu bytes", std::size_t(fleet.bytes));
+    fleet.bytes = 0;
+    for (std::size_t i = 1; i <= 4; ++i)
+    {
+        fleet.stop(i);
+        fleet.start("r" + std::to_string(i), {gossip_fleet::address(0)});
+        fleet.run(seconds(5));
+    }
+    cr_assert(fleet.bytes / 100 / 20 < 4000, "%zu bytes", std::size_t(fleet.bytes));
+}
+
 // Guards against a member whose other fields stay stale when the one full update about
 // them is lost and a short one follows it.
 Test(gossip, lost_full_update_is_fetched)
