State measured detection times in the doc comment of gossip_core

Cause: the node must know what it may rely on. Ruled out: a bound at every size, which gossip does not give. Change: doc comment only. Conclusion: links stay the first line of detection, as the design says.

--- a/src/include/fescueridge/membership/gossip_core.hpp
+++ b/src/include/fescueridge/membership/gossip_core.hpp
@@ -59,7 +59,9 @@
 /// dead 0.5 s after it became suspect at that node. The bounds of 1 s and 1.5 s since
 /// the last sign of life hold at a node that has itself just heard the member. They do
 /// not hold for every pair of nodes in a large fleet: routing must rely on the heartbeats
-/// of its links first. Deaths are never certain: a slow member that returns refutes its
+/// of its links first. In memory, without loss, a death was known to all members after
+/// 1.7 s on average and 2.7 s at worst among 20 (30 runs), 1.9 s and 3.2 s among 200 (10
+/// runs). Deaths are never certain: a slow member that returns refutes its
 /// death by raising its sequence, and is alive again at all members.
 ///
 /// Sheet versions of other members are exact in small fleets. At the design size their
