Refuse second spellings of a path; clear linter findings of the node

Cause: the sheet's path rules match text, so "/x/../publish" or "/%70ublish" avoided the at-most-once rule for "/publish". The linter had not run over the node yet. Ruled out: rewriting the path, since the backend server must get what the caller sent. Conclusion: path rules hold for every spelling that is let through.

--- a/src/include/fescueridge/node/call_ports.hpp
+++ b/src/include/fescueridge/node/call_ports.hpp
@@ -75,10 +75,12 @@
     explicit call_ports(call_port_parts parts);
 
     /// Takes a request of a caller.
-    void on_caller_request(http_request request, std::shared_ptr<http_exchange> exchange);
+    void on_caller_request(http_request request,
+                           const std::shared_ptr<http_exchange>& exchange);
 
     /// Takes a downstream call of the own backend server.
-    void on_server_request(http_request request, std::shared_ptr<http_exchange> exchange);
+    void on_server_request(http_request request,
+                           const std::shared_ptr<http_exchange>& exchange);
 
     const call_counts& counts() const noexcept { return counts_; }
 
--- /dev/null
+++ b/src/node/call_context_test.cpp
@@ -0,0 +1,62 @@
+#include <criterion/criterion.h>
+
+#include "fescueridge/node/call_context.hpp"
+#include "fescueridge/node/sheet_holder.hpp"
+
+using namespace fescueridge;
+
+namespace
+{
+
+call_context make_context()
+{
+    return call_context(root_id("r"), caller_name("c"), priority(3),
+                        clock::now() + milliseconds(1000), retry_allowance(3));
+}
+
+std::string sheet_text(const std::string& service)
+{
+    return "kind,caller,service,priority,limit_per_s,timeout_ms,at_most_once,path,note\n"
+           "rule,*," +
+           service + ",5,,,,,\n";
+}
+
+} // namespace
+
+// Guards against downstream calls that go on after nobody waits for their parent.
+Test(node_call_context, end_cancels_children_once)
+{
+    call_context context = make_context();
+    int cancelled = 0;
+    const auto kept = context.add_child([&] { ++cancelled; });
+    const auto removed = context.add_child([&] { cancelled += 100; });
+    cr_assert(kept.has_value());
+    context.remove_child(*removed);
+    context.end();
+    context.end();
+    cr_assert_eq(cancelled, 1);
+    cr_assert(!context.add_child([] {}).has_value());
+}
+
+// Guards against an old level that stays beside the new one of the same service.
+Test(node_call_context, newest_level_of_a_service_counts)
+{
+    call_context context = make_context();
+    context.add_levels({{service_name("a"), 5, 10}, {service_name("b"), 9, 0}});
+    context.add_levels({{service_name("a"), 2, 20}});
+    const auto levels = context.levels();
+    cr_assert_eq(levels.size(), 2);
+    cr_assert_eq(levels[0].cut_priority, 2);
+}
+
+// Guards against a sheet that goes back to an older version or to a damaged one.
+Test(node_sheet_holder, version_never_goes_down)
+{
+    sheet_holder holder;
+    cr_assert(holder.adopt(sheet_version(2), log_offset(1), sheet_text("a")));
+    cr_assert(!holder.adopt(sheet_version(1), log_offset(2), sheet_text("b")));
+    cr_assert(!holder.adopt(sheet_version(2), log_offset(2), sheet_text("b")));
+    cr_assert(!holder.adopt(sheet_version(3), log_offset(3), "no sheet"));
+    cr_assert(holder.version() == sheet_version(2));
+    cr_assert(holder.get()->rules->find("a", "x", "/") != nullptr);
+}
--- a/src/node/call_ports.cpp
+++ b/src/node/call_ports.cpp
@@ -1,6 +1,8 @@
 #include "fescueridge/node/call_ports.hpp"
 
+#include <cctype>
 #include <charconv>
+#include <cstring>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -40,12 +42,56 @@
     return text;
 }
 
+bool is_needless_escape(std::string_view escape)
+{
+    unsigned value = 0;
+    const auto [end, status] =
+        std::from_chars(escape.data(), escape.data() + escape.size(), value, 16);
+    if (escape.size() != 2 || status != std::errc() || end != escape.data() + 2)
+    {
+        return true; // not an escape at all
+    }
+    const auto letter = static_cast<unsigned char>(value);
+    return letter == 0 || std::isalnum(letter) != 0 ||
+           std::strchr("-._~/", letter) != nullptr;
+}
+
+/// Returns true if a path has one spelling only, so that the path rules of the sheet
+/// cannot be avoided by another spelling.
+bool is_normal_path(std::string_view target)
+{
+    const std::string_view path = target.substr(0, target.find('?'));
+    for (std::size_t at = path.find('%'); at != std::string_view::npos;
+         at = path.find('%', at + 1))
+    {
+        if (is_needless_escape(path.substr(at + 1, 2)))
+        {
+            return false;
+        }
+    }
+    for (const std::string_view bad : {"//", "/./", "/../"})
+    {
+        if (path.find(bad) != std::string_view::npos)
+        {
+            return false;
+        }
+    }
+    const std::string_view last = path.substr(path.rfind('/') + 1);
+    return last != "." && last != "..";
+}
+
 void parse_target(const std::string& target, parsed_call& call)
 {
     if (target.compare(0, call_prefix.size(), call_prefix) != 0)
     {
         throw bad_request_error("the path must be /call/<service>/<path>");
     }
+    if (!is_normal_path(target))
+    {
+        // "/publish/../publish" or "/%70ublish" would not meet the rule for "/publish".
+        throw bad_request_error("the path must not have empty or dot segments, nor "
+                                "percent-encoded letters, digits, dots or slashes");
+    }
     const std::size_t end = target.find_first_of("/?", call_prefix.size());
     const std::string service = target.substr(
         call_prefix.size(),
@@ -179,7 +225,7 @@
 call_ports::call_ports(call_port_parts parts) : parts_(std::move(parts)) {}
 
 void call_ports::on_caller_request(http_request request,
-                                   std::shared_ptr<http_exchange> exchange)
+                                   const std::shared_ptr<http_exchange>& exchange)
 {
     auto entry = std::make_shared<entry_call>();
     try
@@ -287,7 +333,7 @@
     outbound.headers = forwarded_headers(request.headers);
     outbound.body = std::move(request.body);
     parts_.router.send(std::move(outbound),
-                       [this, entry, exchange](reply_message reply)
+                       [this, entry, exchange](const reply_message& reply)
                        {
                            end_root(*entry, reply);
                            answer(*exchange, entry->root, reply);
@@ -303,7 +349,7 @@
 }
 
 void call_ports::on_server_request(http_request request,
-                                   std::shared_ptr<http_exchange> exchange)
+                                   const std::shared_ptr<http_exchange>& exchange)
 {
     parsed_call call;
     try
--- a/src/node/executor_core.cpp
+++ b/src/node/executor_core.cpp
@@ -214,6 +214,7 @@
 {
     const std::lock_guard lock(mutex_);
     std::vector<job_ptr> result;
+    result.reserve(numbers.size());
     for (const std::uint64_t number : numbers)
     {
         const auto found = jobs_.find(number);
@@ -454,6 +455,7 @@
 void executor_core::strike(const std::vector<job_ptr>& running, incarnation server)
 {
     std::vector<fingerprint> requests;
+    requests.reserve(running.size());
     for (const job_ptr& work : running)
     {
         requests.push_back(work->request);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -98,13 +98,13 @@
     };
     caller_server_ = std::make_unique<http_server>(
         io_, settings_.listen_caller,
-        [this](http_request request, std::shared_ptr<http_exchange> exchange)
-        { ports_.on_caller_request(std::move(request), std::move(exchange)); },
+        [this](http_request request, const std::shared_ptr<http_exchange>& exchange)
+        { ports_.on_caller_request(std::move(request), exchange); },
         options);
     server_server_ = std::make_unique<http_server>(
         io_, settings_.listen_server,
-        [this](http_request request, std::shared_ptr<http_exchange> exchange)
-        { ports_.on_server_request(std::move(request), std::move(exchange)); },
+        [this](http_request request, const std::shared_ptr<http_exchange>& exchange)
+        { ports_.on_server_request(std::move(request), exchange); },
         options);
     operator_ = std::make_unique<operator_port>(settings_.listen_operator,
                                                 make_operator_functions());
@@ -271,7 +271,7 @@
         return;
     }
     std::vector<contact> contacts;
-    for (const fescueridge::member_view& member : peers_.members())
+    for (const member_view& member : peers_.members())
     {
         if (member.record.domain == settings_.domain &&
             member.status == liveness::alive && contacts.size() < contacts_per_record)
--- a/src/node/node_links.cpp
+++ b/src/node/node_links.cpp
@@ -44,8 +44,7 @@
 
 void node::impl::on_message(const link_ptr& from, link_message message)
 {
-    std::visit([&](auto&& content) { take(from, std::move(content)); },
-               std::move(message));
+    std::visit([&](auto& content) { take(from, std::move(content)); }, message);
 }
 
 void node::impl::take(const link_ptr& from, call_message call)
--- a/src/node/node_operator.cpp
+++ b/src/node/node_operator.cpp
@@ -87,7 +87,7 @@
 std::vector<domain_view> node::impl::domain_views() const
 {
     std::map<std::string, domain_view> views;
-    for (const fescueridge::member_view& member : peers_.members())
+    for (const member_view& member : peers_.members())
     {
         domain_view& view = views[member.record.domain.get()];
         view.name = member.record.domain.get();
@@ -142,7 +142,9 @@
 members_view node::impl::members() const
 {
     members_view view;
-    for (const fescueridge::member_view& member : peers_.members())
+    const std::vector<member_view> known = peers_.members();
+    view.members.reserve(known.size());
+    for (const member_view& member : known)
     {
         member_status entry;
         entry.node = member.record.node.get();
--- a/src/routing/balancer_test.cpp
+++ b/src/routing/balancer_test.cpp
@@ -129,7 +129,7 @@
     return {member("1"), member("2"), member("3"), member("4")};
 }
 
-server_view view_of(call_loop& loop, const std::string& name)
+balancer_view view_of(call_loop& loop, const std::string& name)
 {
     for (const auto& row : loop.balancer.view(at(loop.now_ms)))
     {
