Close links whose hub ended while they were being opened

Cause: a link still connecting when its hub was closed opened later without an owner; both ends then stayed open and the event loop never ended (stress run hung, 20 s limit). Ruled out: a longer life of the hub by a timer, which only hid this. Change: the open handlers close a connection without owner.

--- a/src/standin_server/backend_server.cpp
+++ b/src/standin_server/backend_server.cpp
@@ -213,7 +213,7 @@
     const auto timeout = time_left(*work);
     if (timeout <= milliseconds(0))
         return end(work, downstream_failure(service, "timed_out"));
-    work->downstream = node_->send(std::move(call), timeout,
+    work->downstream = node_->send(call, timeout,
                                    [this, work](const http_result& result)
                                    { on_downstream(work, result); });
 }
--- a/src/transport/link_hub.cpp
+++ b/src/transport/link_hub.cpp
@@ -26,7 +26,9 @@
         [weak](const websocketpp::connection_hdl& handle)
         {
             const auto self = weak.lock();
-            if (self)
+            if (!self)
+                drop(handle);
+            else
                 self->accepted(self->server_.get_con_from_hdl(handle));
         });
     server_.set_fail_handler(
--- a/src/transport/link_impl.cpp
+++ b/src/transport/link_impl.cpp
@@ -11,6 +11,14 @@
 
 } // namespace
 
+void drop(const websocketpp::connection_hdl& handle)
+{
+    const auto connection = std::static_pointer_cast<websocket_connection>(handle.lock());
+    websocketpp::lib::error_code ignored;
+    if (connection)
+        connection->close(websocketpp::close::status::going_away, "", ignored);
+}
+
 // The handlers keep the hub alive, because a connection that is being closed still uses
 // its endpoint; they do not keep the link alive, which owns the connection.
 void link_impl::attach()
@@ -18,10 +26,12 @@
     const std::weak_ptr<link_impl> weak = shared_from_this();
     if (dialled_)
         connection_->set_open_handler(
-            [weak, hub = hub_](const auto&)
+            [weak, hub = hub_](const auto& handle)
             {
                 if (const auto self = weak.lock())
                     self->on_websocket_open();
+                else
+                    drop(handle);
             });
     connection_->set_message_handler(
         [weak, hub = hub_](const auto&, const auto& frame)
--- a/src/transport/link_impl.hpp
+++ b/src/transport/link_impl.hpp
@@ -16,6 +16,9 @@
 
 class link_hub_impl;
 
+/// Closes a connection whose link or hub has ended while it was being opened.
+void drop(const websocketpp::connection_hdl& handle);
+
 /// One link. The state changes only on the strand of its connection.
 class link_impl : public link, public std::enable_shared_from_this<link_impl>
 {
