Let fresh nodes start after retention in the random schedules

Ruled out: a shorter retention, with which carries are lost during the outages and nothing runs. Change: 800 ms between the rounds, 400 calls a node over 400 keys. Conclusion: the schedules cover the start in mid-stream.

--- a/src/state/claims_fault_test.cpp
+++ b/src/state/claims_fault_test.cpp
@@ -57,7 +57,7 @@
     {
         for (int i = 0; i < count; ++i)
         {
-            send("key" + std::to_string(random_() % 60), name_ + std::to_string(i));
+            send("key" + std::to_string(random_() % 400), name_ + std::to_string(i));
             std::this_thread::sleep_for(milliseconds(random_() % 4));
         }
         while (waiting_ > 0)
@@ -171,10 +171,10 @@
         for (int number = 0; number < 4; ++number)
         {
             nodes.emplace_back([&, number = round * 4 + number]
-                               { fault_node(log, book, seed, number).send_calls(150); });
+                               { fault_node(log, book, seed, number).send_calls(400); });
         }
-        // The second round are fresh nodes that start in mid-stream.
-        std::this_thread::sleep_for(milliseconds(500));
+        // The second round are fresh nodes: the first records are dropped by then.
+        std::this_thread::sleep_for(milliseconds(800));
     }
     for (std::thread& node : nodes)
     {
