Wait for both ends in the test of shared dials

Ruled out: a second link; the set of links given to the 50 dials still has one member. Change: the test waits until the accepting end is open and 50 ms more, then still expects exactly one link there. This is as strict as before, and later links count too. Conclusion: the fault was in the order the test assumed; the exact count was not logged in the failing run.

--- a/src/transport/link_hub_test.cpp
+++ b/src/transport/link_hub_test.cpp
@@ -201,6 +201,8 @@
                    });
     cr_expect(eventually([&] { return done == 50; }));
     cr_expect_eq(links.size(), 1U);
+    cr_expect(eventually([&] { return b.opened >= 1; }));
+    std::this_thread::sleep_for(50ms);
     cr_expect_eq(b.opened, 1);
     links.clear();
 }
