--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,9 @@
 demo: build
 	@python3 scripts/demo.py --build $(BUILD)
 
+check-spec:
+	@spec/run.sh $(BUILD)
+
 format:
 	@git ls-files -z -- '*.cpp' '*.hpp' | xargs -0 clang-format -i
 
--- a/src/include/fescueridge/transport/link_hub.hpp
+++ b/src/include/fescueridge/transport/link_hub.hpp
@@ -35,8 +35,9 @@
     link& operator=(const link&) = delete;
     virtual ~link() = default;
 
-    /// Queues a message. Returns false when the link is closed, so that the message was
-    /// certainly not sent; true does not promise that it arrives.
+    /// Queues a message. Returns false when the message was certainly not sent: the link
+    /// is closed, the message is over max_frame_bytes, or the peer has left too many
+    /// bytes unread. True does not promise that the message arrives.
     virtual bool send(const link_message& message) = 0;
 
     /// Returns the hello of the peer.
@@ -89,7 +90,7 @@
     /// Hello, ping and pong are handled inside and not passed on.
     std::function<void(link_ptr, link_message)> on_message;
 
-    /// Called once for each link that was opened.
+    /// Called once for each link that was opened, unless the hub itself was closed.
     std::function<void(link_ptr)> on_close;
 
     std::function<void(const link_fault&)> on_fault;
@@ -119,8 +120,8 @@
     link_hub(asio::io_context& io, const endpoint& listen, hello_source hello,
              event_log& events, link_callbacks callbacks, link_options options = {});
 
-    /// Closes the hub. Callbacks that run at that moment on other threads may still
-    /// finish; none starts afterwards.
+    /// Closes the hub. Functions of link_callbacks that run at that moment on other
+    /// threads may still finish; none starts afterwards.
     ~link_hub();
 
     link_hub(const link_hub&) = delete;
@@ -132,7 +133,7 @@
     /// Opens a link to the link endpoint of a peer, unless a dialled link to it is open
     /// or being opened; `done` gets that one then. `done` is never called from inside
     /// dial().
-    void dial(const endpoint& target, dial_callback done = {});
+    void dial(const endpoint& target, const dial_callback& done = {});
 
     /// Returns an open link to the node, dialled or accepted, or null.
     link_ptr find(const node_id& node) const;
@@ -140,7 +141,8 @@
     /// Returns all open links.
     std::vector<link_ptr> links() const;
 
-    /// Closes the listening socket and all links.
+    /// Closes the listening socket and all links. Waiting dials get null; on_close is not
+    /// called for the links.
     void close();
 
 private:
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -116,19 +116,21 @@
         "listen.caller",
         [&]
         {
-            return serve_http(
-                settings_.listen_caller,
-                [this](http_request request, std::shared_ptr<http_exchange> exchange)
-                { ports_.on_caller_request(std::move(request), std::move(exchange)); });
+            return serve_http(settings_.listen_caller,
+                              [this](http_request request,
+                                     const std::shared_ptr<http_exchange>& exchange) {
+                                  ports_.on_caller_request(std::move(request), exchange);
+                              });
         });
     server_server_ = open_port(
         "listen.server",
         [&]
         {
-            return serve_http(
-                settings_.listen_server,
-                [this](http_request request, std::shared_ptr<http_exchange> exchange)
-                { ports_.on_server_request(std::move(request), std::move(exchange)); });
+            return serve_http(settings_.listen_server,
+                              [this](http_request request,
+                                     const std::shared_ptr<http_exchange>& exchange) {
+                                  ports_.on_server_request(std::move(request), exchange);
+                              });
         });
     operator_ = open_port("listen.operator",
                           [&]
@@ -312,7 +314,7 @@
         return;
     }
     std::vector<contact> contacts;
-    for (const fescueridge::member_view& member : peers_.members())
+    for (const member_view& member : peers_.members())
     {
         if (member.record.domain == settings_.domain &&
             member.status == liveness::alive && contacts.size() < contacts_per_record)
