Read a log stream at once when its follower starts

Cause: the first read of an empty stream was a long poll of 1 to 2 s. Until it was answered the reader did not know that it was at the end, so the first calls that run at most once of a new service were refused (log_unavailable). Ruled out: the log service and the claims client; neither reported a fault, and a stream with records had no delay. Change: the first read of a stream_follower does not wait. Conclusion: a fresh service serves calls that run at most once at once.

--- a/src/include/fescueridge/state/stream_follower.hpp
+++ b/src/include/fescueridge/state/stream_follower.hpp
@@ -84,6 +84,7 @@
     bool stopping_ = false;
     bool following_ = true;
     log_offset next_{0};
+    bool read_once_ = false;
     milliseconds backoff_{0};
     bool backwards_ = false;
     std::thread thread_;
--- a/src/state/config_test.cpp
+++ b/src/state/config_test.cpp
@@ -225,6 +225,21 @@
     cr_assert_eq(seen.front(), 3, "a reader that catches up publishes no old version");
 }
 
+// Guards against a reader that sits out a long poll before it knows that a stream is
+// empty: the first calls of a new service that run at most once were refused.
+Test(config, empty_stream_is_read_to_its_end_at_once)
+{
+    memory_log_service log;
+    config_follower_options options;
+    options.follow.wait = milliseconds(4'000); // a long poll takes at least 2 s
+    config_follower follower(log, options, {});
+    follower.set_following(true);
+    cr_assert(eventually([&] { return follower.caught_up(); }, milliseconds(1'000)));
+    cr_assert(!follower.current());
+    log.append("config", encode_config_record(submit_of("a", 0)), timeout);
+    cr_assert(eventually([&] { return follower.current().has_value(); }));
+}
+
 // Guards against a submit that counts twice, or loses against itself, when a tool sends
 // it again through the same or another node.
 Test(config, repeated_submit_id_gets_the_first_decision)
--- a/src/state/stream_follower.cpp
+++ b/src/state/stream_follower.cpp
@@ -82,9 +82,12 @@
 {
     std::uniform_int_distribution<std::int64_t> wait(options_.wait.count() / 2,
                                                      options_.wait.count());
-    const milliseconds drawn(wait(random_));
+    // The first read does not wait: until it is answered, a reader of an empty stream
+    // does not know that it is at the end and refuses what needs the stream.
+    const milliseconds drawn(read_once_ ? wait(random_) : 0);
     const log_page page = log_.read(options_.stream, next_, options_.page_records, drawn,
                                     drawn + options_.timeout);
+    read_once_ = true;
     if (page.next < next_)
     {
         throw log_backwards_error(options_.stream, next_, page.next);
