Divide an unused share evenly among the nodes of a domain

Cause: a share was divided by demand alone. With few calls most nodes report no demand, so their next calls came upon 2% of the share and were refused. Ruled out: a wrong row and a lost grant; the refused rows were those with the limits 4,000/s and 3,000/s, at 20 calls/s. Change: below the share each node gets its demand and an even part of the rest; above it the share is divided by demand as before. Conclusion: a limit refuses only when it is reached.

--- a/src/overload/limits_test.cpp
+++ b/src/overload/limits_test.cpp
@@ -221,6 +221,27 @@
     cr_assert(bucket.try_take(at(101'000)));
 }
 
+// Guards against refusals far below the limit: with little traffic most nodes report no
+// demand, and their next call came upon a share of nearly nothing.
+Test(overload_limits, little_demand_leaves_each_node_room)
+{
+    const time_point now = clock::now();
+    share_holder holder(1, domain_name("d1"), call_rate{4000}, 4);
+    for (const char* name : {"n1", "n2", "n3", "n4", "n5"})
+    {
+        const bool busy = std::string(name) == "n1";
+        holder.on_node_demand(node_id(name), call_rate{busy ? 5.0 : 0.0}, now);
+    }
+    double total = 0;
+    for (const node_grant& grant : holder.grants(now))
+    {
+        total += grant.message.rate.get();
+        cr_assert_geq(grant.message.rate.get(), 150.0, "%s is granted %.1f/s",
+                      grant.node.get().c_str(), grant.message.rate.get());
+    }
+    cr_assert_leq(total, 1000.0 + 1e-6, "the grants pass the domain's share");
+}
+
 // Guards against nodes that choose different holders, and against many rows that move
 // when one node leaves.
 Test(overload_limits, rendezvous_choice_is_stable)
--- a/src/overload/share_holder.cpp
+++ b/src/overload/share_holder.cpp
@@ -160,7 +160,11 @@
     {
         const double even = 1.0 / static_cast<double>(fresh.size());
         const double part = total > 0 ? nodes_.at(*node).rate / total : even;
-        const double rate = share * (even_part * even + (1 - even_part) * part);
+        // Below the limit each node gets its demand and an even part of the rest: a node
+        // with few calls often reports none, and must not be held to its last report.
+        const double rate = total < share
+                                ? nodes_.at(*node).rate + (share - total) * even
+                                : share * (even_part * even + (1 - even_part) * part);
         result.push_back({*node, {row_, call_rate{rate}, lease}});
     }
     return result;
