--- a/scripts/local_fleet.py
+++ b/scripts/local_fleet.py
@@ -20,13 +20,40 @@
 STOP_SECONDS = 10
 
 
+class Interrupts:
+    """Raises KeyboardInterrupt on SIGINT and SIGTERM, but not while a process is being
+    started: it would be left behind without its id being known."""
+
+    def __init__(self):
+        self.held = False
+        self.pending = False
+
+    def install(self):
+        signal.signal(signal.SIGTERM, self.on_signal)
+        signal.signal(signal.SIGINT, self.on_signal)
+
+    def on_signal(self, number, frame):
+        if self.held:
+            self.pending = True
+        else:
+            raise KeyboardInterrupt
+
+    def __enter__(self):
+        self.held = True
+
+    def __exit__(self, kind, value, trace):
+        self.held = False
+        if self.pending:
+            self.pending = False
+            raise KeyboardInterrupt
+
+
+_interrupts = Interrupts()
+
+
 def stop_on_signals():
-    """Turns SIGTERM and SIGINT into the exception that Ctrl-C raises, so that both end
-    the fleet; a shell starts background jobs with SIGINT ignored."""
-    def interrupt(number, frame):
-        raise KeyboardInterrupt
-    signal.signal(signal.SIGTERM, interrupt)
-    signal.signal(signal.SIGINT, interrupt)
+    """Lets SIGTERM end the fleet as Ctrl-C does, and Ctrl-C in a background job too."""
+    _interrupts.install()
 
 
 class LocalFleet(Fleet):
@@ -48,6 +75,10 @@
         signal.signal(signal.SIGINT, signal.default_int_handler)
         signal.signal(signal.SIGTERM, signal.SIG_DFL)
 
+    def run(self, name, program, *arguments):
+        with _interrupts:
+            return super().run(name, program, *arguments)
+
     def stop_all(self):
         """Ends every started process by its id: first the nodes, which finish their calls,
         then the rest."""
--- a/testsuite/fleet.py
+++ b/testsuite/fleet.py
@@ -7,6 +7,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -204,6 +205,8 @@
             if process.alive():
                 process.send(signal.SIGCONT)
                 process.kill()
+        if kind is None:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
     def run(self, name, program, *arguments):
         command = [os.path.join(self.bin, program)] + [str(a) for a in arguments]
