Bound the claim queue of a node without a table, route escaped streams

Cause: a node that never gets a complete table appends nothing, so refused calls stayed in its queue; the stand-in did not match a stream name with an escaped slash and answered 404. Ruled out: refusing at once while the table is incomplete, since the table often completes within the time left. Change: the timer drops calls that are gone from the queue; idle threads wait with a bound; the route of the stand-in takes any stream name.

--- a/src/standin_log/main.cpp
+++ b/src/standin_log/main.cpp
@@ -37,7 +37,7 @@
 
     void add_routes(httplib::Server& server)
     {
-        const char* const records = R"(/v1/streams/([^/]+)/records)";
+        const char* const records = R"(/v1/streams/(.+)/records)";
         server.Post(records,
                     [this](const httplib::Request& request, httplib::Response& answer)
                     { append(request, answer); });
--- a/src/state/claim_client.cpp
+++ b/src/state/claim_client.cpp
@@ -17,6 +17,9 @@
 // The last attempt to append voids and dones when the process ends.
 constexpr milliseconds stop_timeout{300};
 
+// Wait of a thread that has nothing to do; it is woken earlier by new work.
+constexpr milliseconds idle_wait{1'000};
+
 follow_options for_stream(follow_options options, const std::string& stream)
 {
     options.stream = stream;
@@ -158,14 +161,7 @@
         const bool dones_due = done_due_ && *done_due_ <= now;
         if (!can_claim && voids_.empty() && !dones_due)
         {
-            if (done_due_)
-            {
-                writer_wake_.wait_until(lock, *done_due_);
-            }
-            else
-            {
-                writer_wake_.wait(lock);
-            }
+            writer_wake_.wait_until(lock, done_due_.value_or(now + idle_wait));
             continue;
         }
         const std::vector<claim_entry> claims =
@@ -270,14 +266,7 @@
     std::unique_lock<std::mutex> lock(mutex_);
     while (!stopping_)
     {
-        if (const auto deadline = next_deadline())
-        {
-            timer_wake_.wait_until(lock, *deadline);
-        }
-        else
-        {
-            timer_wake_.wait(lock);
-        }
+        timer_wake_.wait_until(lock, next_deadline().value_or(clock::now() + idle_wait));
         std::vector<callback> refused;
         expire(clock::now(), refused);
         lock.unlock();
@@ -306,6 +295,15 @@
             give_up(found);
         }
     }
+    // Without a complete table the writer takes nothing, and the queue must not grow.
+    if (queue_.size() > calls_.size())
+    {
+        const auto is_gone = [this](const call_id& call)
+        {
+            return calls_.count(call) == 0;
+        };
+        queue_.erase(std::remove_if(queue_.begin(), queue_.end(), is_gone), queue_.end());
+    }
 }
 
 std::optional<time_point> claim_client::next_deadline() const
