Limit remember_days to what claims keep

Cause: the sheet took up to 365 days, while claims forget dead and voided calls after 31 days, so a key could have run twice after that. Ruled out: keeping spent calls for a year, since nobody asked for it and the table is carried forward in one record. Conclusion: the sheet cannot promise more than the claims hold.

--- a/src/sheet/sheet_parser.cpp
+++ b/src/sheet/sheet_parser.cpp
@@ -19,7 +19,8 @@
 
 constexpr std::uint32_t max_timeout_ms = 3'600'000;
 constexpr std::uint32_t max_domains = 1000;
-constexpr std::uint32_t max_remember_days = 365;
+// Claims forget spent calls after 31 days, so a longer promise could not be kept.
+constexpr std::uint32_t max_remember_days = 31;
 constexpr std::uint32_t max_retry_allowance = 9;
 
 /// Reads the rows of one sheet and collects every fault.
