Cut failure domains from each other in tests

Cause: the fault proxy acts on all traffic of an address, so a failure domain could not be cut from another while its own nodes still talk. Ruled out: one proxy for each pair of nodes, because gossip tells every node the same address of a member. Change: settings have an optional `advertise` object with the link and gossip addresses that other nodes are told. Outgoing links use the listen address as source (the library's async_connect closes a bound socket, so the transport has its own); gossip did so already. The proxy has `block_sources` (address prefixes) and `block_mode` (cut, drop, drop_to_target, drop_to_source). Fleet(proxied=True) gives domain k the address 127.0.k.1 and has cut(), cut_log() and heal(). Before: no cut between domains. Conclusion: the tool for partitions is in place.

--- a/src/base/base_test.cpp
+++ b/src/base/base_test.cpp
@@ -43,6 +43,30 @@
     cr_assert(settings.listen_gossip == (endpoint{"127.0.0.1", 5}));
     cr_assert(settings.contacts.size() == 1);
     cr_assert(!settings.log_service.has_value());
+    cr_assert(settings.advertised_link == settings.listen_link);
+    cr_assert(settings.advertised_gossip == settings.listen_gossip);
+}
+
+// Guards against a node behind address translation telling others its inner address.
+Test(base_settings, reads_advertised_addresses)
+{
+    std::string text = valid_settings;
+    text.insert(text.find("\"contacts\""),
+                R"("advertise": {"link": "10.0.0.1:7", "gossip": "10.0.0.1:8"}, )");
+    const node_settings settings = parse_settings(text, "node.json");
+    cr_assert(settings.advertised_link == (endpoint{"10.0.0.1", 7}));
+    cr_assert(settings.advertised_gossip == (endpoint{"10.0.0.1", 8}));
+    cr_assert(settings.listen_link == (endpoint{"127.0.0.1", 3}));
+    text.replace(text.find("10.0.0.1:8"), 10, "host:8");
+    try
+    {
+        parse_settings(text, "node.json");
+        cr_assert_fail("an address that is no number was accepted");
+    }
+    catch (const settings_error& problem)
+    {
+        cr_assert(problem.key() == "advertise.gossip");
+    }
 }
 
 // Guards against a faulty file being accepted, or an error that does not name the key.
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -131,6 +131,22 @@
     listen.reject_unknown_keys();
 }
 
+void read_advertised_addresses(object_reader& reader, const std::string& file,
+                               node_settings& result)
+{
+    result.advertised_link = result.listen_link;
+    result.advertised_gossip = result.listen_gossip;
+    const json* value = reader.find("advertise");
+    if (value == nullptr)
+    {
+        return;
+    }
+    object_reader advertise(*value, file, "advertise");
+    result.advertised_link = advertise.address("link");
+    result.advertised_gossip = advertise.address("gossip");
+    advertise.reject_unknown_keys();
+}
+
 std::vector<endpoint> read_contacts(object_reader& reader)
 {
     std::vector<endpoint> result;
@@ -169,6 +185,7 @@
     result.domain = domain_name(reader.text("failure_domain"));
     result.region = reader.text("region");
     read_listen_addresses(reader.get("listen"), file, result);
+    read_advertised_addresses(reader, file, result);
     result.contacts = read_contacts(reader);
     if (reader.find("log_service") != nullptr)
     {
--- a/src/include/fescueridge/membership/gossip_udp.hpp
+++ b/src/include/fescueridge/membership/gossip_udp.hpp
@@ -36,10 +36,11 @@
 class gossip_udp
 {
 public:
-    /// Opens the socket on `self.gossip`; port 0 takes a free port, which local() and the
-    /// own record then show. Throws address_error when it cannot be opened. The
+    /// Opens the socket on `listen`; port 0 takes a free port, which local() then shows.
+    /// A port 0 in `self.gossip`, the address told to other nodes, is replaced by the port
+    /// of the socket. Throws address_error when the socket cannot be opened. The
     /// io_context must outlive this object.
-    gossip_udp(asio::io_context& context, member_record self,
+    gossip_udp(asio::io_context& context, const endpoint& listen, member_record self,
                std::vector<endpoint> contacts, gossip_callbacks callbacks,
                gossip_options options = {});
     /// Stops. Callbacks that run at the moment finish on their own thread.
--- a/src/membership/gossip_udp.cpp
+++ b/src/membership/gossip_udp.cpp
@@ -55,7 +55,10 @@
 
 member_record with_port(member_record record, std::uint16_t port)
 {
-    record.gossip.port = port;
+    if (record.gossip.port == 0)
+    {
+        record.gossip.port = port;
+    }
     return record;
 }
 
@@ -65,9 +68,10 @@
 class gossip_udp::impl : public std::enable_shared_from_this<impl>
 {
 public:
-    impl(asio::io_context& context, member_record self, std::vector<endpoint> contacts,
-         gossip_callbacks callbacks, gossip_options options)
-        : strand_(asio::make_strand(context)), socket_(open_socket(strand_, self.gossip)),
+    impl(asio::io_context& context, const endpoint& listen, member_record self,
+         std::vector<endpoint> contacts, gossip_callbacks callbacks,
+         gossip_options options)
+        : strand_(asio::make_strand(context)), socket_(open_socket(strand_, listen)),
           timer_(strand_), callbacks_(std::move(callbacks)),
           core_(with_port(std::move(self), socket_.local_endpoint().port()),
                 std::move(contacts), random_engine(random_seed()), clock::now(), options)
@@ -253,10 +257,10 @@
     gossip_counters counters_;
 };
 
-gossip_udp::gossip_udp(asio::io_context& context, member_record self,
-                       std::vector<endpoint> contacts, gossip_callbacks callbacks,
-                       gossip_options options)
-    : impl_(std::make_shared<impl>(context, std::move(self), std::move(contacts),
+gossip_udp::gossip_udp(asio::io_context& context, const endpoint& listen,
+                       member_record self, std::vector<endpoint> contacts,
+                       gossip_callbacks callbacks, gossip_options options)
+    : impl_(std::make_shared<impl>(context, listen, std::move(self), std::move(contacts),
                                    std::move(callbacks), options))
 {
 }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -69,7 +69,7 @@
                                       make_link_callbacks());
     peers_.use(*hub_);
     gossip_ = std::make_unique<gossip_udp>(
-        io_, make_own_record(), settings_.contacts,
+        io_, settings_.listen_gossip, make_own_record(), settings_.contacts,
         gossip_callbacks{[this](const auto& changes) { on_member_changes(changes); },
                          [this](const endpoint& from, const std::string& reason)
                          {
@@ -164,9 +164,9 @@
     member_record record;
     record.node = settings_.node;
     record.number = number_;
-    record.link = settings_.listen_link;
+    record.link = settings_.advertised_link;
     record.operator_port = settings_.listen_operator;
-    record.gossip = settings_.listen_gossip;
+    record.gossip = settings_.advertised_gossip;
     record.domain = settings_.domain;
     record.region = settings_.region;
     return record;
--- a/src/transport/link_hub.cpp
+++ b/src/transport/link_hub.cpp
@@ -349,6 +349,8 @@
         throw address_error("cannot listen on " + to_string(where) + ": " + ec.message());
     asio::error_code local_ec;
     bound_ = from_asio(server_.get_local_endpoint(local_ec));
+    // The peers' side sees the address that this node listens on.
+    client_.set_source(to_asio(where).address());
     server_.start_accept();
 }
 
--- a/testsuite/fault_proxy/faults.cpp
+++ b/testsuite/fault_proxy/faults.cpp
@@ -1,5 +1,6 @@
 #include "faults.hpp"
 
+#include <algorithm>
 #include <array>
 #include <string_view>
 
@@ -19,19 +20,38 @@
 constexpr std::array<std::string_view, 6> mode_names{
     "pass", "refuse", "cut", "blackhole", "one_way_to_target", "one_way_to_client"};
 
+constexpr std::array<std::string_view, 4> block_mode_names{
+    "cut", "drop", "drop_to_target", "drop_to_source"};
+
 // An hour; a longer delay is a mistake in a test.
 constexpr double max_delay_ms = 3'600'000;
 
-fault_mode read_mode(const json& value)
+template <class Mode, std::size_t Count>
+Mode read_mode(const std::string& key, const json& value,
+               const std::array<std::string_view, Count>& names)
+{
+    for (std::size_t i = 0; i < names.size(); ++i)
+    {
+        if (value.is_string() && value.get<std::string>() == names[i])
+        {
+            return static_cast<Mode>(i);
+        }
+    }
+    throw settings_error("control", key, "is not the name of a mode");
+}
+
+std::vector<std::string> read_prefixes(const std::string& key, const json& value)
 {
-    for (std::size_t i = 0; i < mode_names.size(); ++i)
+    std::vector<std::string> result;
+    for (const json& prefix : value)
     {
-        if (value.is_string() && value.get<std::string>() == mode_names[i])
+        if (!value.is_array() || !prefix.is_string())
         {
-            return static_cast<fault_mode>(i);
+            throw settings_error("control", key, "must be a list of address prefixes");
         }
+        result.push_back(prefix.get<std::string>());
     }
-    throw settings_error("control", "mode", "is not the name of a mode");
+    return result;
 }
 
 std::uint64_t read_count(const std::string& key, const json& value)
@@ -57,7 +77,15 @@
 {
     if (key == "mode")
     {
-        target.mode = read_mode(value);
+        target.mode = read_mode<fault_mode>(key, value, mode_names);
+    }
+    else if (key == "block_sources")
+    {
+        target.block_sources = read_prefixes(key, value);
+    }
+    else if (key == "block_mode")
+    {
+        target.block = read_mode<block_mode>(key, value, block_mode_names);
     }
     else if (key == "delay_ms")
     {
@@ -91,17 +119,36 @@
 
 } // namespace
 
-bool faults::vanishes(direction way) const noexcept
+bool faults::blocks(std::string_view source) const noexcept
+{
+    return std::any_of(block_sources.begin(), block_sources.end(),
+                       [&](const std::string& prefix)
+                       { return source.substr(0, prefix.size()) == prefix; });
+}
+
+bool faults::cuts(std::string_view source) const noexcept
 {
-    return mode == fault_mode::blackhole ||
-           (mode == fault_mode::one_way_to_target && way == direction::to_client) ||
-           (mode == fault_mode::one_way_to_client && way == direction::to_target);
+    return block == block_mode::cut && blocks(source);
+}
+
+bool faults::vanishes(direction way, std::string_view source) const noexcept
+{
+    const bool towards_target = way == direction::to_target;
+    if (mode == fault_mode::blackhole ||
+        (mode == fault_mode::one_way_to_target && !towards_target) ||
+        (mode == fault_mode::one_way_to_client && towards_target))
+    {
+        return true;
+    }
+    const bool kept_way = block == (towards_target ? block_mode::drop_to_source
+                                                   : block_mode::drop_to_target);
+    return !kept_way && blocks(source);
 }
 
-bool faults::loses_datagram(direction way)
+bool faults::loses_datagram(direction way, std::string_view source)
 {
     const bool stopped = mode == fault_mode::refuse || mode == fault_mode::cut;
-    return random() % 100 < drop_percent || stopped || vanishes(way);
+    return random() % 100 < drop_percent || stopped || vanishes(way, source);
 }
 
 void apply_control(faults& target, const std::string& body)
--- a/testsuite/fault_proxy/faults.hpp
+++ b/testsuite/fault_proxy/faults.hpp
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <random>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace fault_proxy
 {
@@ -21,6 +23,15 @@
     one_way_to_client  ///< Only bytes towards the client arrive.
 };
 
+/// What happens to the traffic of the sources in faults::block_sources.
+enum class block_mode : std::uint8_t
+{
+    cut,            ///< Connections are reset, new ones too; datagrams are lost.
+    drop,           ///< Everything vanishes silently; connections stay half-open.
+    drop_to_target, ///< Only bytes from the source vanish.
+    drop_to_source  ///< Only bytes towards the source vanish.
+};
+
 /// Direction of bytes through the proxy.
 enum class direction : std::uint8_t
 {
@@ -32,17 +43,26 @@
 struct faults
 {
     fault_mode mode = fault_mode::pass;
-    std::chrono::microseconds delay{0};  ///< Each way.
-    std::uint64_t bytes_per_second = 0;  ///< For each connection and way; 0: no limit.
-    std::uint64_t reset_after_bytes = 0; ///< Both ways together; 0: no reset.
-    unsigned drop_percent = 0;           ///< Datagrams only.
+    std::chrono::microseconds delay{0};     ///< Each way.
+    std::uint64_t bytes_per_second = 0;     ///< For each connection and way; 0: no limit.
+    std::uint64_t reset_after_bytes = 0;    ///< Both ways together; 0: no reset.
+    unsigned drop_percent = 0;              ///< Datagrams only.
+    std::vector<std::string> block_sources; ///< Prefixes of source addresses.
+    block_mode block = block_mode::drop;
     std::mt19937_64 random{1};
 
-    /// Returns true when bytes of this direction vanish.
-    bool vanishes(direction way) const noexcept;
+    /// Returns true when the source address has a blocked prefix.
+    bool blocks(std::string_view source) const noexcept;
+
+    /// Returns true when connections from this source are reset.
+    bool cuts(std::string_view source) const noexcept;
+
+    /// Returns true when bytes of this direction vanish; `source` is the address of the
+    /// client.
+    bool vanishes(direction way, std::string_view source) const noexcept;
 
     /// Draws whether a datagram of this direction is lost.
-    bool loses_datagram(direction way);
+    bool loses_datagram(direction way, std::string_view source);
 };
 
 /// Applies a JSON object of the control port. Keys that are missing keep their value.
--- a/testsuite/fault_proxy/tcp_proxy.cpp
+++ b/testsuite/fault_proxy/tcp_proxy.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <string>
 #include <vector>
 
 #include <asio/buffer.hpp>
@@ -54,8 +55,9 @@
 class tcp_connection : public std::enable_shared_from_this<tcp_connection>
 {
 public:
-    tcp_connection(tcp::socket client, faults& active)
-        : faults_(active), client_(std::move(client)), server_(client_.get_executor()),
+    tcp_connection(tcp::socket client, std::string source, faults& active)
+        : faults_(active), source_(std::move(source)), client_(std::move(client)),
+          server_(client_.get_executor()),
           to_target_(client_, server_, direction::to_target),
           to_client_(server_, client_, direction::to_client)
     {
@@ -75,6 +77,8 @@
                               });
     }
 
+    const std::string& source() const noexcept { return source_; }
+
     /// Ends both connections with RST.
     void reset()
     {
@@ -128,7 +132,7 @@
             return;
         }
         side.ended = static_cast<bool>(problem);
-        if (!faults_.vanishes(side.way))
+        if (!faults_.vanishes(side.way, source_))
         {
             enqueue(side, count);
         }
@@ -139,7 +143,8 @@
     void end_after_error(pump& side, const std::error_code& problem)
     {
         side.ended = true;
-        if (problem != asio::error::operation_aborted && !faults_.vanishes(side.way))
+        if (problem != asio::error::operation_aborted &&
+            !faults_.vanishes(side.way, source_))
         {
             reset();
         }
@@ -189,7 +194,7 @@
     void deliver(pump& side)
     {
         chunk& item = side.waiting.front();
-        if (faults_.vanishes(side.way))
+        if (faults_.vanishes(side.way, source_))
         {
             delivered(side);
             return;
@@ -232,6 +237,7 @@
     }
 
     faults& faults_;
+    std::string source_; ///< Address of the client.
     tcp::socket client_;
     tcp::socket server_;
     pump to_target_;
@@ -268,15 +274,31 @@
             }
             if (!problem)
             {
-                const auto made =
-                    std::make_shared<tcp_connection>(std::move(client), faults_);
-                connections_.insert(made);
-                made->start(target_);
+                take(std::move(client));
             }
             accept_next();
         });
 }
 
+void tcp_proxy::take(tcp::socket client)
+{
+    std::error_code gone;
+    const tcp::endpoint remote = client.remote_endpoint(gone);
+    if (gone)
+    {
+        return;
+    }
+    const auto made = std::make_shared<tcp_connection>(
+        std::move(client), remote.address().to_string(), faults_);
+    if (faults_.cuts(made->source()))
+    {
+        made->reset();
+        return;
+    }
+    connections_.insert(made);
+    made->start(target_);
+}
+
 void tcp_proxy::faults_changed()
 {
     const bool refuses =
@@ -292,7 +314,8 @@
     for (auto item = connections_.begin(); item != connections_.end();)
     {
         const auto connection = item->lock();
-        if (connection && faults_.mode == fault_mode::cut)
+        if (connection &&
+            (faults_.mode == fault_mode::cut || faults_.cuts(connection->source())))
         {
             connection->reset();
         }
--- a/testsuite/fault_proxy/tcp_proxy.hpp
+++ b/testsuite/fault_proxy/tcp_proxy.hpp
@@ -32,6 +32,7 @@
 private:
     void open();
     void accept_next();
+    void take(asio::ip::tcp::socket client);
 
     asio::io_context& context_;
     asio::ip::tcp::endpoint listen_;
--- a/testsuite/fault_proxy/udp_proxy.cpp
+++ b/testsuite/fault_proxy/udp_proxy.cpp
@@ -27,9 +27,8 @@
                                    if (!problem)
                                    {
                                        session& client = session_of(sender_);
-                                       forward(client.socket, target_,
-                                               {buffer_.data(), buffer_.data() + size},
-                                               direction::to_target);
+                                       forward(client, direction::to_target,
+                                               {buffer_.data(), buffer_.data() + size});
                                    }
                                    receive_next();
                                });
@@ -59,17 +58,18 @@
             if (!problem)
             {
                 const char* start = client.buffer.data();
-                forward(socket_, client.client, {start, start + size},
-                        direction::to_client);
+                forward(client, direction::to_client, {start, start + size});
             }
             receive_answer(client);
         });
 }
 
-void udp_proxy::forward(udp::socket& socket, const udp::endpoint& to,
-                        std::vector<char> bytes, direction way)
+void udp_proxy::forward(session& client, direction way, std::vector<char> bytes)
 {
-    if (faults_.loses_datagram(way))
+    const bool towards_target = way == direction::to_target;
+    udp::socket& socket = towards_target ? client.socket : socket_;
+    const udp::endpoint to = towards_target ? target_ : client.client;
+    if (faults_.loses_datagram(way, client.source))
     {
         return;
     }
--- a/testsuite/fault_proxy/udp_proxy.hpp
+++ b/testsuite/fault_proxy/udp_proxy.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include <asio/io_context.hpp>
@@ -33,11 +34,13 @@
     struct session
     {
         session(asio::io_context& context, const asio::ip::udp::endpoint& from)
-            : socket(context, asio::ip::udp::endpoint(from.protocol(), 0)), client(from)
+            : socket(context, asio::ip::udp::endpoint(from.protocol(), 0)), client(from),
+              source(from.address().to_string())
         {
         }
         asio::ip::udp::socket socket;
         asio::ip::udp::endpoint client;
+        std::string source; ///< Address of the client.
         asio::ip::udp::endpoint sender;
         std::array<char, buffer_size> buffer{};
     };
@@ -45,8 +48,7 @@
     void receive_next();
     void receive_answer(session& client);
     session& session_of(const asio::ip::udp::endpoint& client);
-    void forward(asio::ip::udp::socket& socket, const asio::ip::udp::endpoint& to,
-                 std::vector<char> bytes, direction way);
+    void forward(session& client, direction way, std::vector<char> bytes);
 
     asio::io_context& context_;
     asio::ip::udp::socket socket_;
--- a/testsuite/fleet.py
+++ b/testsuite/fleet.py
@@ -6,18 +6,34 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
 import tempfile
+import threading
 import time
 
 
+# Below the range that the system gives to outgoing connections: one of those could take a
+# port between its choice and its use.
+LISTEN_PORTS = range(10_000, 32_000)
+_used_ports = set()
+
+
 def free_port(kind=socket.SOCK_STREAM):
-    """Returns a loopback port that was free a moment ago."""
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a loopback port that is free and that this process did not return before."""
+    while True:
+        port = random.choice(LISTEN_PORTS)
+        if port in _used_ports:
+            continue
+        _used_ports.add(port)
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind(("0.0.0.0", port))
+                return port
+            except OSError:
+                pass
 
 
 def http_json(port, method, path, body=None, timeout=10):
@@ -88,6 +104,36 @@
             return log.read().decode(errors="replace").splitlines()
 
 
+class Proxy:
+    """A fault proxy in front of one address."""
+
+    def __init__(self, fleet, name, address, port, *options):
+        self.control_port = free_port()
+        self.port = free_port(socket.SOCK_DGRAM if options else socket.SOCK_STREAM)
+        self.address = "127.0.0.1:%d" % self.port
+        self.blocked = {}
+        self.process = fleet.run(
+            "proxy-" + name, "fescue_fault_proxy", "--listen", self.address,
+            "--target", "%s:%d" % (address, port),
+            "--control", "127.0.0.1:%d" % self.control_port, *options)
+        wait_until(lambda: _answers(self.control_port), 10, name + " proxy answers")
+
+    def control(self, **changes):
+        status, _, body = http_call(self.control_port, "POST", "/control", changes)
+        assert status == 200, body
+
+    def block(self, prefix, mode):
+        """Blocks one more source; all blocked sources of a proxy share one mode."""
+        self.blocked[prefix] = mode
+        assert len(set(self.blocked.values())) == 1, self.blocked
+        self.control(block_sources=list(self.blocked), block_mode=mode)
+
+    def unblock(self):
+        if self.blocked:
+            self.blocked = {}
+            self.control(block_sources=[])
+
+
 class Node:
     """A node with its ports, its settings and, where there is one, its backend server."""
 
@@ -96,15 +142,24 @@
         self.name = name
         self.domain = domain
         self.region = region
+        self.address = fleet.domain_address(domain)
         self.caller = free_port()
         self.server_side = free_port()
         self.link = free_port()
         self.operator = free_port()
         self.gossip = free_port(socket.SOCK_DGRAM)
+        # What other nodes are told; the proxies' addresses in a proxied fleet.
+        self.link_proxy = None
+        self.gossip_proxy = None
+        if fleet.proxied:
+            self.link_proxy = Proxy(fleet, name + "-link", self.address, self.link)
+            self.gossip_proxy = Proxy(fleet, name + "-gossip", self.address, self.gossip,
+                                      "--udp")
         self.process = None
         self.server = None
         self.server_port = free_port()
         self.server_options = []
+        self.record_file = os.path.join(fleet.folder, "record-%s" % name)
 
     def start(self, contacts, log_port=None, overrides=None):
         settings = {
@@ -114,12 +169,15 @@
             "listen": {
                 "caller": "127.0.0.1:%d" % self.caller,
                 "server": "127.0.0.1:%d" % self.server_side,
-                "link": "127.0.0.1:%d" % self.link,
+                "link": "%s:%d" % (self.address, self.link),
                 "operator": "127.0.0.1:%d" % self.operator,
-                "gossip": "127.0.0.1:%d" % self.gossip,
+                "gossip": "%s:%d" % (self.address, self.gossip),
             },
-            "contacts": ["127.0.0.1:%d" % port for port in contacts],
+            "contacts": list(contacts),
         }
+        if self.fleet.proxied:
+            settings["advertise"] = {"link": self.link_proxy.address,
+                                     "gossip": self.gossip_proxy.address}
         if log_port:
             settings["log_service"] = "127.0.0.1:%d" % log_port
         settings.update(overrides or {})
@@ -128,6 +186,17 @@
             json.dump(settings, out, indent=2)
         self.process = self.fleet.run(self.name, "fescueridged", path)
 
+    def gossip_address(self):
+        """Returns the gossip address that other nodes are told."""
+        if self.gossip_proxy:
+            return self.gossip_proxy.address
+        return "%s:%d" % (self.address, self.gossip)
+
+    def restart(self, overrides=None):
+        """Starts the node again with the settings of its fleet."""
+        self.start(self.fleet.contacts(), self.fleet.log_port_of(self.domain),
+                   overrides or self.fleet.overrides)
+
     def start_server(self, *options):
         """Starts the backend server of this node with the options of its stand-in."""
         if options:
@@ -136,7 +205,16 @@
             "server-" + self.name, "fescue_standin_server",
             "--listen", "127.0.0.1:%d" % self.server_port,
             "--node-operator", "127.0.0.1:%d" % self.operator,
-            "--node-server", "127.0.0.1:%d" % self.server_side, *self.server_options)
+            "--node-server", "127.0.0.1:%d" % self.server_side,
+            "--record", self.record_file, *self.server_options)
+
+    def executions(self):
+        """Returns the execution record of the backend server, oldest first. Its time_ms
+        is of the same clock as time.monotonic()."""
+        if not os.path.exists(self.record_file):
+            return []
+        with open(self.record_file, encoding="utf-8") as record:
+            return [json.loads(line) for line in record.read().splitlines()]
 
     def status(self):
         try:
@@ -168,8 +246,20 @@
 class Fleet:
     """Nodes, their backend servers and the stand-in log; a context manager."""
 
-    def __init__(self, build, seed=1):
+    # Block modes of the proxies of the second domain and of the first one.
+    CUT_MODES = {
+        "cut": ("cut", "cut"),                # connections are reset, datagrams lost
+        "half_open": ("drop", "drop"),        # everything vanishes, connections stay
+        "one_way": ("drop_to_target", "drop_to_source"),  # first to second vanishes
+    }
+
+    def __init__(self, build, seed=1, proxied=False):
         self.bin = os.path.join(build, "bin")
+        self.proxied = proxied
+        self.domains = []
+        self.log_proxies = {}
+        self.overrides = None
+        self.lock = threading.Lock()
         self.folder = tempfile.mkdtemp(prefix="fescueridge-")
         self.seed = seed
         self.nodes = []
@@ -194,9 +284,51 @@
     def run(self, name, program, *arguments):
         command = [os.path.join(self.bin, program)] + [str(a) for a in arguments]
         process = Process(name, command, os.path.join(self.folder, name + ".log"))
-        self.processes.append(process)
+        with self.lock:
+            self.processes.append(process)
         return process
 
+    def domain_address(self, domain):
+        """Returns the address of a failure domain: 127.0.k.1 for the k-th in a proxied
+        fleet, so that its traffic can be told apart."""
+        if not self.proxied:
+            return "127.0.0.1"
+        if domain not in self.domains:
+            self.domains.append(domain)
+        return "127.0.%d.1" % (self.domains.index(domain) + 1)
+
+    def log_port_of(self, domain):
+        """Returns the port at which a failure domain reaches the log."""
+        if not self.proxied or not self.log_port:
+            return self.log_port
+        if domain not in self.log_proxies:
+            self.log_proxies[domain] = Proxy(self, "log-" + domain, "127.0.0.1",
+                                             self.log_port)
+        return self.log_proxies[domain].port
+
+    def cut(self, first, second, mode="cut"):
+        """Cuts two failure domains from each other; see CUT_MODES."""
+        at_second, at_first = self.CUT_MODES[mode]
+        for node in self.nodes:
+            if node.domain == second:
+                node.link_proxy.block(self.domain_address(first), at_second)
+                node.gossip_proxy.block(self.domain_address(first), at_second)
+            elif node.domain == first:
+                node.link_proxy.block(self.domain_address(second), at_first)
+                node.gossip_proxy.block(self.domain_address(second), at_first)
+
+    def cut_log(self, domain):
+        """Cuts a failure domain from the log."""
+        self.log_proxies[domain].control(mode="cut")
+
+    def heal(self):
+        """Ends every cut."""
+        for node in self.nodes:
+            node.link_proxy.unblock()
+            node.gossip_proxy.unblock()
+        for proxy in self.log_proxies.values():
+            proxy.control(mode="pass")
+
     def start_log(self, *options):
         self.log_port = self.log_port or free_port()
         self.log = self.run("log", "fescue_standin_log", "--listen",
@@ -212,15 +344,16 @@
         return node
 
     def contacts(self):
-        """Returns the gossip ports of the first two nodes of each failure domain."""
+        """Returns the gossip addresses of the first two nodes of each failure domain."""
         by_domain = {}
         for node in self.nodes:
-            by_domain.setdefault(node.domain, []).append(node.gossip)
-        return [port for ports in by_domain.values() for port in ports[:2]]
+            by_domain.setdefault(node.domain, []).append(node.gossip_address())
+        return [address for known in by_domain.values() for address in known[:2]]
 
     def start_nodes(self, overrides=None):
+        self.overrides = overrides
         for node in self.nodes:
-            node.start(self.contacts(), self.log_port, overrides)
+            node.start(self.contacts(), self.log_port_of(node.domain), overrides)
         for node in self.nodes:
             wait_until(node.status, 5, node.name + " answers")
 
