--- a/src/node/executor_core.cpp
+++ b/src/node/executor_core.cpp
@@ -282,9 +282,13 @@
     };
     http_call_handle handle =
         pool->send(make_request(*work), work->context->deadline - now, on_done);
-    const std::lock_guard lock(mutex_);
-    work->handle = handle;
-    if (work->cancelled)
+    bool cancelled = false;
+    {
+        const std::lock_guard lock(mutex_);
+        work->handle = handle;
+        cancelled = work->cancelled;
+    }
+    if (cancelled)
     {
         handle.cancel();
     }
@@ -521,6 +525,7 @@
 {
     job_ptr work;
     queue_changes changes;
+    std::optional<http_call_handle> at_server;
     {
         const std::lock_guard lock(mutex_);
         const auto found = numbers_.find(id);
@@ -532,10 +537,18 @@
         work->cancelled = true;
         if (work->at_server)
         {
-            work->handle.cancel(); // on_result follows and ends the call
-            return;
+            at_server = work->handle;
         }
-        changes = queue_.cancel(work->number, clock::now());
+        else
+        {
+            changes = queue_.cancel(work->number, clock::now());
+        }
+    }
+    if (at_server)
+    {
+        // on_result follows, perhaps before this returns, and ends the call.
+        at_server->cancel();
+        return;
     }
     apply(changes);
     refuse(work, refusal_reason::cancelled, outcome::not_run);
