Reject CBOR that is nested too deeply

Cause: the JSON library parses CBOR by recursion. A link frame of 200,000 bytes 0x9f (each starts an array) exhausted the stack of an io thread and ended the node. Ruled out: a smaller frame limit, because calls need 16 MiB. Change: parse_cbor() builds the value through the library's SAX interface and stops at 16 levels with codec_error; link frames, gossip datagrams, quarantine records and log records use it. Tokens have a checksum and a length limit and stay as they are. Conclusion: no frame within the size limit ends a node by its nesting.

--- a/src/codec/messages.cpp
+++ b/src/codec/messages.cpp
@@ -4,6 +4,7 @@
 #include <limits>
 #include <nlohmann/json.hpp>
 
+#include "fescueridge/base/cbor.hpp"
 #include "fescueridge/base/error.hpp"
 
 namespace fescueridge
@@ -417,16 +418,7 @@
     {
         throw codec_error(fmt::format("frame of {} bytes is too large", bytes.size()));
     }
-    json document;
-    try
-    {
-        document = json::from_cbor(bytes);
-    }
-    catch (const json::exception& problem)
-    {
-        throw codec_error(problem.what());
-    }
-    field_reader in(std::move(document));
+    field_reader in(parse_cbor(bytes));
     const auto type = in.number<frame_type>(0, 255);
     link_frame frame;
     frame.lamport = in.unsigned64();
--- a/src/codec/messages_test.cpp
+++ b/src/codec/messages_test.cpp
@@ -96,6 +96,15 @@
     }
 }
 
+// Guards against a frame that exhausts the stack by its nesting and ends the process.
+Test(codec_messages, deep_nesting_is_rejected)
+{
+    for (const char start : {'\x9f', '\x81', '\xbf', '\xa1'})
+    {
+        cr_assert(is_rejected(std::string(1'000'000, start)));
+    }
+}
+
 // Guards against damaged frames that end the process instead of raising codec_error.
 Test(codec_messages, damaged_frames_raise_only_codec_error)
 {
--- a/src/codec/quarantine_record.cpp
+++ b/src/codec/quarantine_record.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "fescueridge/base/cbor.hpp"
 #include "fescueridge/base/error.hpp"
 
 namespace fescueridge
@@ -58,7 +59,7 @@
 
 quarantine_record decode_quarantine_record(const std::string& bytes)
 {
-    const json fields = json::from_cbor(bytes, true, false);
+    const json fields = parse_cbor(bytes);
     if (!fields.is_array() || fields.size() != 4 || !fields[3].is_number_integer())
     {
         throw codec_error("quarantine record is not an array of 4 fields");
--- a/src/membership/wire.cpp
+++ b/src/membership/wire.cpp
@@ -6,6 +6,7 @@
 
 #include <fmt/format.h>
 
+#include "fescueridge/base/cbor.hpp"
 #include "fescueridge/base/error.hpp"
 
 namespace fescueridge::detail
@@ -148,14 +149,7 @@
         throw codec_error(
             fmt::format("gossip datagram of {} bytes is too large", bytes.size()));
     }
-    try
-    {
-        return json::from_cbor(bytes.begin(), bytes.end());
-    }
-    catch (const json::exception& problem)
-    {
-        throw codec_error(fmt::format("gossip datagram is not CBOR: {}", problem.what()));
-    }
+    return parse_cbor(bytes);
 }
 
 std::optional<endpoint> read_via(const json& value)
--- a/src/state/cbor_fields.hpp
+++ b/src/state/cbor_fields.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <utility>
 
+#include "fescueridge/base/cbor.hpp"
 #include "fescueridge/base/error.hpp"
 
 namespace fescueridge::detail
@@ -29,16 +30,8 @@
 {
 public:
     /// Parses a record. Throws codec_error unless it is a CBOR array.
-    explicit cbor_fields(const std::string& bytes)
+    explicit cbor_fields(const std::string& bytes) : array_(parse_cbor(bytes))
     {
-        try
-        {
-            array_ = json::from_cbor(bytes);
-        }
-        catch (const json::exception& problem)
-        {
-            throw codec_error(problem.what());
-        }
         check();
     }
 
