Stop an idle node in less than a second

Cause: (1) each follower of the log sits in a long poll of up to 2 s, and stop() waited for its end. (2) The operator port kept connections open, and its stop waits up to 5 s for each that is idle, for example the one of the backend server's heartbeat or of a tool. Ruled out: shorter polls, which cost more reads all the time. Change: log_service::interrupt_reads() closes the connections of the reads under way of a stream; stream_follower::stop() repeats it until its thread has ended, because a read that is just starting is missed. The operator port closes each connection after its answer and gives up one without a request after 1 s.

--- a/src/include/fescueridge/node/operator_port.hpp
+++ b/src/include/fescueridge/node/operator_port.hpp
@@ -25,7 +25,7 @@
     std::function<drain_result()> drain;
     std::function<void(const server_announcement&)> announce;
     std::function<std::string()> metrics;
-    const event_log* events = nullptr;
+    event_log* events = nullptr;
 };
 
 /// HTTP port for operators and for announcements of the backend server. Few connections,
--- a/src/include/fescueridge/platform/http_log_service.hpp
+++ b/src/include/fescueridge/platform/http_log_service.hpp
@@ -1,8 +1,17 @@
 #pragma once
 
+#include <map>
+#include <mutex>
+#include <string>
+
 #include "fescueridge/base/endpoint.hpp"
 #include "fescueridge/platform/log_service.hpp"
 
+namespace httplib
+{
+class Client;
+}
+
 namespace fescueridge
 {
 
@@ -20,8 +29,14 @@
     log_page read(const std::string& stream, log_offset from, std::uint32_t max_records,
                   milliseconds wait, milliseconds timeout) override;
 
+    void interrupt_reads(const std::string& stream) override;
+
 private:
+    class read_registration;
+
     endpoint server_;
+    std::mutex reads_mutex_;
+    std::multimap<std::string, httplib::Client*> reads_; ///< Under way, by stream.
 };
 
 } // namespace fescueridge
--- a/src/include/fescueridge/platform/log_service.hpp
+++ b/src/include/fescueridge/platform/log_service.hpp
@@ -74,6 +74,11 @@
     virtual log_page read(const std::string& stream, log_offset from,
                           std::uint32_t max_records, milliseconds wait,
                           milliseconds timeout) = 0;
+
+    /// Ends the reads of a stream that are under way; they throw log_unavailable_error. A
+    /// read that is just starting may be missed, so callers repeat this until their read
+    /// has returned.
+    virtual void interrupt_reads(const std::string& stream) = 0;
 };
 
 } // namespace fescueridge
--- a/src/include/fescueridge/platform/memory_log_service.hpp
+++ b/src/include/fescueridge/platform/memory_log_service.hpp
@@ -37,6 +37,9 @@
     log_page read(const std::string& stream, log_offset from, std::uint32_t max_records,
                   milliseconds wait, milliseconds timeout) override;
 
+    /// Does nothing: several readers share one object, and reads end by themselves.
+    void interrupt_reads(const std::string& /*stream*/) override {}
+
     /// Refuses every operation while set.
     void set_down(bool down);
 
--- a/src/include/fescueridge/state/stream_follower.hpp
+++ b/src/include/fescueridge/state/stream_follower.hpp
@@ -66,11 +66,13 @@
     /// Pauses or resumes the polls; running at first.
     void set_following(bool following);
 
-    /// Ends the thread; returns after the poll under way.
+    /// Interrupts the poll under way and ends the thread.
     void stop();
 
 private:
     void run();
+    bool may_poll();
+    bool is_stopping();
     void poll();
     void pause(milliseconds longest);
     void back_off(const error& problem);
@@ -82,6 +84,7 @@
     std::mutex mutex_;
     std::condition_variable wake_;
     bool stopping_ = false;
+    bool ended_ = false;
     bool following_ = true;
     log_offset next_{0};
     milliseconds backoff_{0};
--- a/src/node/operator_port.cpp
+++ b/src/node/operator_port.cpp
@@ -15,7 +15,7 @@
 
 using json = nlohmann::json;
 
-// Each kept-alive connection holds a thread: some tools, and one backend server.
+// Requests at a time: of some tools and one backend server.
 constexpr std::size_t worker_threads = 8;
 
 std::string text_member(const json& body, const char* name)
@@ -126,6 +126,10 @@
             });
         server_.set_payload_max_length(max_sheet_bytes + 65'536);
         server_.set_tcp_nodelay(true);
+        // A connection that is kept open would hold a thread, and stop() would wait up to
+        // 5 s for it. One without a request is given up after a second.
+        server_.set_keep_alive_max_count(1);
+        server_.set_keep_alive_timeout(1);
         add_sheet_routes();
         add_view_routes();
         add_command_routes();
@@ -157,6 +161,13 @@
     using request = httplib::Request;
     using response = httplib::Response;
 
+    /// Answers a malformed body; nothing was done.
+    void refuse(const request& in, response& out, const std::string& text)
+    {
+        functions_.events->record("bad_request", {{"path", in.path}, {"text", text}});
+        respond_error(out, text, 400);
+    }
+
     void add_sheet_routes()
     {
         server_.Post(
@@ -182,7 +193,7 @@
                          }
                          catch (const codec_error& problem)
                          {
-                             respond_error(out, problem.what(), 400);
+                             refuse(in, out, problem.what());
                          }
                      });
         server_.Get("/v1/sheet", [this](const request&, response& out)
@@ -245,7 +256,7 @@
                          }
                          catch (const codec_error& problem)
                          {
-                             respond_error(out, problem.what(), 400);
+                             refuse(in, out, problem.what());
                          }
                      });
     }
--- a/src/platform/http_log_service.cpp
+++ b/src/platform/http_log_service.cpp
@@ -77,6 +77,32 @@
 
 } // namespace
 
+/// Makes a read known to interrupt_reads() while it is under way.
+class http_log_service::read_registration
+{
+public:
+    read_registration(http_log_service& owner, const std::string& stream,
+                      httplib::Client& client)
+        : owner_(owner)
+    {
+        const std::lock_guard<std::mutex> lock(owner_.reads_mutex_);
+        place_ = owner_.reads_.emplace(stream, &client);
+    }
+
+    ~read_registration()
+    {
+        const std::lock_guard<std::mutex> lock(owner_.reads_mutex_);
+        owner_.reads_.erase(place_);
+    }
+
+    read_registration(const read_registration&) = delete;
+    read_registration& operator=(const read_registration&) = delete;
+
+private:
+    http_log_service& owner_;
+    std::multimap<std::string, httplib::Client*>::iterator place_;
+};
+
 http_log_service::http_log_service(endpoint server) : server_(std::move(server)) {}
 
 log_offset http_log_service::append(const std::string& stream, const std::string& data,
@@ -123,6 +149,7 @@
                                 milliseconds timeout)
 {
     httplib::Client client = make_client(server_, timeout);
+    const read_registration registration(*this, stream, client);
     const httplib::Result answer =
         client.Get(fmt::format("{}?from={}&max={}&wait_ms={}", path_of(stream),
                                from.get(), max_records, wait.count()));
@@ -155,4 +182,14 @@
         fmt::format("log service answers a read with status {}", answer->status));
 }
 
+void http_log_service::interrupt_reads(const std::string& stream)
+{
+    const std::lock_guard<std::mutex> lock(reads_mutex_);
+    const auto [first, last] = reads_.equal_range(stream);
+    for (auto item = first; item != last; ++item)
+    {
+        item->second->stop();
+    }
+}
+
 } // namespace fescueridge
--- a/src/platform/platform_test.cpp
+++ b/src/platform/platform_test.cpp
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <criterion/criterion.h>
 #include <httplib.h>
 #include <thread>
@@ -149,6 +150,41 @@
                     log_unavailable_error);
 }
 
+// Guards against a long poll that holds up the stop of a node until it ends by itself.
+Test(platform, read_is_interrupted)
+{
+    constexpr milliseconds wait{2'000};
+    scripted_server slow([&](const httplib::Request&, httplib::Response&)
+                         { std::this_thread::sleep_for(wait); });
+    http_log_service log(slow.address());
+    std::atomic<bool> ended{false};
+    bool unavailable = false;
+    const time_point start = clock::now();
+    std::thread reader(
+        [&]
+        {
+            try
+            {
+                log.read("s", log_offset(0), 1, wait, wait + timeout);
+            }
+            catch (const log_unavailable_error&)
+            {
+                unavailable = true;
+            }
+            ended = true;
+        });
+    std::this_thread::sleep_for(milliseconds(100));
+    while (!ended)
+    {
+        log.interrupt_reads("another");
+        log.interrupt_reads("s");
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    reader.join();
+    cr_assert(unavailable);
+    cr_assert(clock::now() - start < wait / 2);
+}
+
 // Guards against a fake whose faults do not do what the tests built on it assume.
 Test(platform, memory_log_faults)
 {
--- a/src/state/stream_follower.cpp
+++ b/src/state/stream_follower.cpp
@@ -7,6 +7,14 @@
 namespace fescueridge
 {
 
+namespace
+{
+
+// A read that had not started when it was interrupted is interrupted again after this.
+constexpr milliseconds interrupt_interval{5};
+
+} // namespace
+
 log_backwards_error::log_backwards_error(const std::string& stream, log_offset known,
                                          log_offset seen)
     : error(fmt::format("stream {} ends at offset {}, but {} was read already", stream,
@@ -37,9 +45,16 @@
 void stream_follower::stop()
 {
     {
-        const std::lock_guard<std::mutex> lock(mutex_);
+        std::unique_lock<std::mutex> lock(mutex_);
         stopping_ = true;
         wake_.notify_all();
+        while (!ended_)
+        {
+            lock.unlock();
+            log_.interrupt_reads(options_.stream);
+            lock.lock();
+            wake_.wait_for(lock, interrupt_interval, [this] { return ended_; });
+        }
     }
     if (thread_.joinable())
     {
@@ -49,16 +64,8 @@
 
 void stream_follower::run()
 {
-    while (true)
+    while (may_poll())
     {
-        {
-            std::unique_lock<std::mutex> lock(mutex_);
-            wake_.wait(lock, [this] { return stopping_ || following_; });
-            if (stopping_)
-            {
-                return;
-            }
-        }
         try
         {
             poll();
@@ -76,6 +83,22 @@
         backoff_ = milliseconds(0);
         pause(options_.interval);
     }
+    const std::lock_guard<std::mutex> lock(mutex_);
+    ended_ = true;
+    wake_.notify_all();
+}
+
+bool stream_follower::may_poll()
+{
+    std::unique_lock<std::mutex> lock(mutex_);
+    wake_.wait(lock, [this] { return stopping_ || following_; });
+    return !stopping_;
+}
+
+bool stream_follower::is_stopping()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return stopping_;
 }
 
 void stream_follower::poll()
@@ -98,6 +121,10 @@
 
 void stream_follower::back_off(const error& problem)
 {
+    if (is_stopping())
+    {
+        return; // stop() has interrupted the read
+    }
     const bool backwards = dynamic_cast<const log_backwards_error*>(&problem) != nullptr;
     if (backoff_ == milliseconds(0) || backwards != backwards_)
     {
