Route calls to the newer of two nodes with one id

Cause: links are found by node id. When a second node started with the id of a live one, the older recorded "member_duplicate_id" and refused at its caller port, but other nodes still sent it calls over their open links, and it ran them. Ruled out: gossip; all nodes had the newer record within a second. Change: the older node drains its executor. A link counts as current only when its incarnation is not below the member's record, otherwise the record's address is dialled; of two open links the higher incarnation is taken. A websocket length that is not minimal is reported as "bad_frame" and no longer as "cut". Conclusion: one of two nodes with one id takes calls.

--- a/src/include/fescueridge/node/peer_table.hpp
+++ b/src/include/fescueridge/node/peer_table.hpp
@@ -70,6 +70,13 @@
     std::vector<member_view> members() const;
 
 private:
+    /// Where a node is reached, and which incarnation of it.
+    struct link_target
+    {
+        endpoint link;
+        incarnation number;
+    };
+
     void rebuild_balancers();
     bool is_link_up(const member_view& member) const;
 
@@ -78,7 +85,7 @@
     link_hub* hub_ = nullptr;
     mutable std::shared_mutex mutex_;
     std::vector<member_view> members_;
-    std::unordered_map<node_id, endpoint> endpoints_;
+    std::unordered_map<node_id, link_target> targets_;
     std::unordered_map<service_name, std::shared_ptr<backend_server_balancer>> balancers_;
     std::unordered_set<node_id> lost_links_;
 };
--- a/src/include/fescueridge/transport/link_hub.hpp
+++ b/src/include/fescueridge/transport/link_hub.hpp
@@ -134,7 +134,8 @@
     /// dial().
     void dial(const endpoint& target, dial_callback done = {});
 
-    /// Returns an open link to the node, dialled or accepted, or null.
+    /// Returns an open link to the node, dialled or accepted, or null. Of two nodes with
+    /// one id it takes the one with the higher incarnation.
     link_ptr find(const node_id& node) const;
 
     /// Returns all open links.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -339,6 +339,11 @@
         events_.record("member_" + std::string(to_string(change.kind)),
                        {{"member", change.member.record.node.get()},
                         {"domain", change.member.record.domain.get()}});
+        if (change.kind == change_kind::duplicate_id)
+        {
+            // Nodes with a link to this one may still send calls to its id.
+            executor_.drain();
+        }
     }
 }
 
--- a/src/node/peer_table.cpp
+++ b/src/node/peer_table.cpp
@@ -37,10 +37,10 @@
     members_.clear();
     members_.push_back({self, liveness::alive});
     members_.insert(members_.end(), members.begin(), members.end());
-    endpoints_.clear();
+    targets_.clear();
     for (const member_view& member : members)
     {
-        endpoints_[member.record.node] = member.record.link;
+        targets_[member.record.node] = {member.record.link, member.record.number};
     }
     rebuild_balancers();
 }
@@ -91,26 +91,29 @@
 
 void peer_table::with_link(const node_id& node, link_callback done)
 {
-    if (link_ptr open = hub_->find(node))
-    {
-        done(std::move(open));
-        return;
-    }
-    std::optional<endpoint> target;
+    link_ptr open = hub_->find(node);
+    std::optional<link_target> target;
     {
         const std::shared_lock lock(mutex_);
-        const auto found = endpoints_.find(node);
-        if (found != endpoints_.end())
+        const auto found = targets_.find(node);
+        if (found != targets_.end())
         {
             target = found->second;
         }
     }
+    // An open link to an older node with the same id would be used forever otherwise.
+    const bool current = open && (!target || open->peer().number >= target->number);
+    if (current)
+    {
+        done(std::move(open));
+        return;
+    }
     if (!target)
     {
         done(nullptr);
         return;
     }
-    hub_->dial(*target,
+    hub_->dial(target->link,
                [this, node, done = std::move(done)](const link_ptr& opened)
                {
                    if (!opened)
@@ -151,13 +154,13 @@
         const std::unique_lock lock(mutex_);
         for (auto it = lost_links_.begin(); it != lost_links_.end();)
         {
-            const auto found = endpoints_.find(*it);
-            if (found == endpoints_.end())
+            const auto found = targets_.find(*it);
+            if (found == targets_.end())
             {
                 it = lost_links_.erase(it); // the member was forgotten
                 continue;
             }
-            targets.push_back(found->second);
+            targets.push_back(found->second.link);
             ++it;
         }
     }
--- a/src/transport/link_hub.cpp
+++ b/src/transport/link_hub.cpp
@@ -267,8 +267,12 @@
     const auto local = connection_->get_local_close_code();
     if (local == status::message_too_big)
         return end(fault(link_fault_kind::frame_too_large, detail));
-    if (local == status::protocol_error || local == status::invalid_payload)
-        return end(fault(link_fault_kind::bad_frame, detail));
+    // The library's code for a length that is not encoded in the least bytes.
+    const bool bad_length = local == status::internal_endpoint_error;
+    if (local == status::protocol_error || local == status::invalid_payload || bad_length)
+        return end(
+            fault(link_fault_kind::bad_frame,
+                  detail.empty() ? connection_->get_local_close_reason() : detail));
     if (connection_->get_remote_close_code() == status::abnormal_close)
         return end(fault(link_fault_kind::cut, detail));
     end({});
@@ -459,10 +463,14 @@
 link_ptr link_hub_impl::find(const node_id& node) const
 {
     const std::lock_guard lock(mutex_);
+    link_ptr best;
     for (const auto& link : links_)
-        if (link->is_open() && link->peer().node == node)
-            return link;
-    return nullptr;
+    {
+        const bool candidate = link->is_open() && link->peer().node == node;
+        if (candidate && (!best || best->peer().number < link->peer().number))
+            best = link;
+    }
+    return best;
 }
 
 std::vector<link_ptr> link_hub_impl::links() const
