--- a/src/membership/gossip_udp.cpp
+++ b/src/membership/gossip_udp.cpp
@@ -55,10 +55,7 @@
 
 member_record with_port(member_record record, std::uint16_t port)
 {
-    if (record.gossip.port == 0)
-    {
-        record.gossip.port = port;
-    }
+    record.gossip.port = port;
     return record;
 }
 
@@ -68,12 +65,14 @@
 class gossip_udp::impl : public std::enable_shared_from_this<impl>
 {
 public:
-    impl(asio::io_context& context, const endpoint& listen, member_record self,
-         std::vector<endpoint> contacts, gossip_callbacks callbacks,
-         gossip_options options)
-        : strand_(asio::make_strand(context)), socket_(open_socket(strand_, listen)),
-          timer_(strand_), callbacks_(std::move(callbacks)),
-          core_(with_port(std::move(self), socket_.local_endpoint().port()),
+    impl(asio::io_context& context, member_record self, std::vector<endpoint> contacts,
+         gossip_callbacks callbacks, gossip_options options,
+         const std::optional<endpoint>& listen)
+        : strand_(asio::make_strand(context)),
+          socket_(open_socket(strand_, listen.value_or(self.gossip))), timer_(strand_),
+          callbacks_(std::move(callbacks)),
+          core_(listen ? std::move(self)
+                       : with_port(std::move(self), socket_.local_endpoint().port()),
                 std::move(contacts), random_engine(random_seed()), clock::now(), options)
     {
         local_ = from_asio(socket_.local_endpoint());
@@ -227,7 +226,7 @@
         {
             send(item);
         }
-        if (!changes.empty() && callbacks_.on_change)
+        if (!changes.empty() && callbacks_.on_change && !stopped_)
         {
             callbacks_.on_change(changes);
         }
@@ -257,11 +256,11 @@
     gossip_counters counters_;
 };
 
-gossip_udp::gossip_udp(asio::io_context& context, const endpoint& listen,
-                       member_record self, std::vector<endpoint> contacts,
-                       gossip_callbacks callbacks, gossip_options options)
-    : impl_(std::make_shared<impl>(context, listen, std::move(self), std::move(contacts),
-                                   std::move(callbacks), options))
+gossip_udp::gossip_udp(asio::io_context& context, member_record self,
+                       std::vector<endpoint> contacts, gossip_callbacks callbacks,
+                       gossip_options options, const std::optional<endpoint>& listen)
+    : impl_(std::make_shared<impl>(context, std::move(self), std::move(contacts),
+                                   std::move(callbacks), options, listen))
 {
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -69,14 +69,15 @@
                                       make_link_callbacks());
     peers_.use(*hub_);
     gossip_ = std::make_unique<gossip_udp>(
-        io_, settings_.listen_gossip, make_own_record(), settings_.contacts,
+        io_, make_own_record(), settings_.contacts,
         gossip_callbacks{[this](const auto& changes) { on_member_changes(changes); },
                          [this](const endpoint& from, const std::string& reason)
                          {
                              events_.record(
                                  "gossip_malformed",
                                  {{"from", to_string(from)}, {"reason", reason}});
-                         }});
+                         }},
+        gossip_options{}, settings_.listen_gossip);
     refresh_peers();
     quarantine_ = std::make_unique<quarantine_sync>(log_.get(), suspicions_, peers_,
                                                     worker_, events_, sender);
@@ -98,13 +99,13 @@
     };
     caller_server_ = std::make_unique<http_server>(
         io_, settings_.listen_caller,
-        [this](http_request request, std::shared_ptr<http_exchange> exchange)
-        { ports_.on_caller_request(std::move(request), std::move(exchange)); },
+        [this](http_request request, const std::shared_ptr<http_exchange>& exchange)
+        { ports_.on_caller_request(std::move(request), exchange); },
         options);
     server_server_ = std::make_unique<http_server>(
         io_, settings_.listen_server,
-        [this](http_request request, std::shared_ptr<http_exchange> exchange)
-        { ports_.on_server_request(std::move(request), std::move(exchange)); },
+        [this](http_request request, const std::shared_ptr<http_exchange>& exchange)
+        { ports_.on_server_request(std::move(request), exchange); },
         options);
     operator_ = std::make_unique<operator_port>(settings_.listen_operator,
                                                 make_operator_functions());
@@ -271,7 +272,7 @@
         return;
     }
     std::vector<contact> contacts;
-    for (const fescueridge::member_view& member : peers_.members())
+    for (const member_view& member : peers_.members())
     {
         if (member.record.domain == settings_.domain &&
             member.status == liveness::alive && contacts.size() < contacts_per_record)
--- a/src/state/claim_client.cpp
+++ b/src/state/claim_client.cpp
@@ -17,6 +17,9 @@
 // The last attempt to append voids and dones when the process ends.
 constexpr milliseconds stop_timeout{300};
 
+// Wait of a thread that has nothing to do; it is woken earlier by new work.
+constexpr milliseconds idle_wait{1'000};
+
 follow_options for_stream(follow_options options, const std::string& stream)
 {
     options.stream = stream;
@@ -168,14 +171,7 @@
         const bool dones_due = done_due_ && *done_due_ <= now;
         if (!can_claim && voids_.empty() && !dones_due)
         {
-            if (done_due_)
-            {
-                writer_wake_.wait_until(lock, *done_due_);
-            }
-            else
-            {
-                writer_wake_.wait(lock);
-            }
+            writer_wake_.wait_until(lock, done_due_.value_or(now + idle_wait));
             continue;
         }
         const std::vector<claim_entry> claims =
@@ -280,14 +276,7 @@
     std::unique_lock<std::mutex> lock(mutex_);
     while (!stopping_)
     {
-        if (const auto deadline = next_deadline())
-        {
-            timer_wake_.wait_until(lock, *deadline);
-        }
-        else
-        {
-            timer_wake_.wait(lock);
-        }
+        timer_wake_.wait_until(lock, next_deadline().value_or(clock::now() + idle_wait));
         std::vector<callback> refused;
         expire(clock::now(), refused);
         lock.unlock();
@@ -316,6 +305,15 @@
             give_up(found);
         }
     }
+    // Without a complete table the writer takes nothing, and the queue must not grow.
+    if (queue_.size() > calls_.size())
+    {
+        const auto is_gone = [this](const call_id& call)
+        {
+            return calls_.count(call) == 0;
+        };
+        queue_.erase(std::remove_if(queue_.begin(), queue_.end(), is_gone), queue_.end());
+    }
 }
 
 std::optional<time_point> claim_client::next_deadline() const
@@ -358,7 +356,7 @@
         report("claims_record_malformed",
                fmt::format("offset {}: {}", problem.offset.get(), problem.reason));
     }
-    decide(std::move(decisions));
+    decide(decisions);
     carry_if_due();
 }
 
@@ -368,14 +366,14 @@
         const std::lock_guard<std::mutex> lock(mutex_);
         state_.restart(oldest);
         caught_up_ = false;
-        carry_due_.reset();
+        carry_timer_.reset();
     }
     report("log_truncated", fmt::format("reading goes on at offset {}", oldest.get()));
 }
 
 /// Passes decisions on to the calls of this node that still wait. spec/claims.pml, label
 /// read_back: only the own record in the log decides, never the answer to the append.
-void claim_client::decide(std::vector<claim_decision> decisions)
+void claim_client::decide(const std::vector<claim_decision>& decisions)
 {
     for (const claim_decision& decision : decisions)
     {
@@ -408,30 +406,18 @@
     }
 }
 
-/// Appends the table when the record that fresh readers start from gets old; the random
-/// delay lets one node be first.
+/// Appends the table when the record that fresh readers start from gets old.
 void claim_client::carry_if_due()
 {
     claims_record carry;
     {
         const std::lock_guard<std::mutex> lock(mutex_);
-        if (!caught_up_ || !state_.needs_carry(wall_clock_ms(), options_.retention))
-        {
-            carry_due_.reset();
-            return;
-        }
-        const time_point now = clock::now();
-        if (!carry_due_)
-        {
-            std::uniform_int_distribution<std::int64_t> delay(
-                0, options_.retention.count() / 8);
-            carry_due_ = now + milliseconds(delay(random_));
-        }
-        if (now < *carry_due_)
+        const bool needed =
+            caught_up_ && state_.needs_carry(wall_clock_ms(), options_.retention);
+        if (!carry_timer_.is_due(needed, clock::now(), options_.retention, random_))
         {
             return;
         }
-        carry_due_.reset();
         carry = state_.table().to_carry(state_.next());
     }
     try
