--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -87,6 +87,7 @@
                                                         events_, make_link_callbacks());
                   });
     peers_.use(*hub_);
+<<<<<<< HEAD
     const gossip_callbacks on_gossip{
         [this](const auto& changes) { on_member_changes(changes); },
         [this](const endpoint& from, const std::string& reason)
@@ -100,6 +101,18 @@
                             return std::make_unique<gossip_udp>(
                                 io_, make_own_record(), settings_.contacts, on_gossip);
                         });
+=======
+    gossip_ = std::make_unique<gossip_udp>(
+        io_, make_own_record(), settings_.contacts,
+        gossip_callbacks{[this](const auto& changes) { on_member_changes(changes); },
+                         [this](const endpoint& from, const std::string& reason)
+                         {
+                             events_.record(
+                                 "gossip_malformed",
+                                 {{"from", to_string(from)}, {"reason", reason}});
+                         }},
+        gossip_options{}, settings_.listen_gossip);
+>>>>>>> fleet
     refresh_peers();
     http_server_options options;
     options.on_fault = [this](const http_fault& fault)
@@ -207,9 +220,9 @@
     member_record record;
     record.node = settings_.node;
     record.number = number_;
-    record.link = settings_.listen_link;
+    record.link = settings_.advertised_link;
     record.operator_port = settings_.listen_operator;
-    record.gossip = settings_.listen_gossip;
+    record.gossip = settings_.advertised_gossip;
     record.domain = settings_.domain;
     record.region = settings_.region;
     return record;
@@ -382,6 +395,11 @@
         events_.record("member_" + std::string(to_string(change.kind)),
                        {{"member", change.member.record.node.get()},
                         {"domain", change.member.record.domain.get()}});
+        if (change.kind == change_kind::duplicate_id)
+        {
+            // Nodes with a link to this one may still send calls to its id.
+            executor_.drain();
+        }
     }
 }
 
