--- a/src/node/executor_core.cpp
+++ b/src/node/executor_core.cpp
@@ -527,11 +527,7 @@
 {
     job_ptr work;
     queue_changes changes;
-<<<<<<< HEAD
     std::optional<http_call_handle> running;
-=======
-    std::optional<http_call_handle> at_server;
->>>>>>> fleet
     {
         const std::lock_guard lock(mutex_);
         const auto found = numbers_.find(id);
@@ -543,28 +539,17 @@
         work->cancelled = true;
         if (work->at_server)
         {
-<<<<<<< HEAD
             running = work->handle;
-=======
-            at_server = work->handle;
->>>>>>> fleet
         }
         else
         {
             changes = queue_.cancel(work->number, clock::now());
         }
     }
-<<<<<<< HEAD
     if (running)
     {
         // Without the lock, because on_result may run within this call; it ends the call.
         running->cancel();
-=======
-    if (at_server)
-    {
-        // on_result follows, perhaps before this returns, and ends the call.
-        at_server->cancel();
->>>>>>> fleet
         return;
     }
     apply(changes);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -87,7 +87,6 @@
                                                         events_, make_link_callbacks());
                   });
     peers_.use(*hub_);
-<<<<<<< HEAD
     const gossip_callbacks on_gossip{
         [this](const auto& changes) { on_member_changes(changes); },
         [this](const endpoint& from, const std::string& reason)
@@ -99,20 +98,9 @@
                         [&]
                         {
                             return std::make_unique<gossip_udp>(
-                                io_, make_own_record(), settings_.contacts, on_gossip);
+                                io_, make_own_record(), settings_.contacts, on_gossip,
+                                gossip_options{}, settings_.listen_gossip);
                         });
-=======
-    gossip_ = std::make_unique<gossip_udp>(
-        io_, make_own_record(), settings_.contacts,
-        gossip_callbacks{[this](const auto& changes) { on_member_changes(changes); },
-                         [this](const endpoint& from, const std::string& reason)
-                         {
-                             events_.record(
-                                 "gossip_malformed",
-                                 {{"from", to_string(from)}, {"reason", reason}});
-                         }},
-        gossip_options{}, settings_.listen_gossip);
->>>>>>> fleet
     refresh_peers();
     http_server_options options;
     options.on_fault = [this](const http_fault& fault)
