Reserve the lists that the operator port answers with

Cause: the linter refused push_back in a loop in node_operator.cpp. Change: reserve() before both loops.

--- a/src/node/node_operator.cpp
+++ b/src/node/node_operator.cpp
@@ -103,6 +103,7 @@
         ++view.nodes;
     }
     std::vector<domain_view> result;
+    result.reserve(views.size());
     for (auto& [name, view] : views)
     {
         result.push_back(std::move(view));
@@ -184,6 +185,7 @@
         }
     }
     pressure_view view;
+    view.services.reserve(lowest.size());
     for (const auto& [service, entry] : lowest)
     {
         view.services.push_back(entry);
