--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,9 @@
 test: build
 	@scripts/run_tests.sh $(BUILD)
 
+demo: build
+	@python3 scripts/demo.py --build $(BUILD)
+
 check-spec:
 	@spec/run.sh $(BUILD)
 
--- a/src/node/executor_core.cpp
+++ b/src/node/executor_core.cpp
@@ -527,7 +527,7 @@
 {
     job_ptr work;
     queue_changes changes;
-    std::optional<http_call_handle> at_server;
+    std::optional<http_call_handle> running;
     {
         const std::lock_guard lock(mutex_);
         const auto found = numbers_.find(id);
@@ -539,17 +539,17 @@
         work->cancelled = true;
         if (work->at_server)
         {
-            at_server = work->handle;
+            running = work->handle;
         }
         else
         {
             changes = queue_.cancel(work->number, clock::now());
         }
     }
-    if (at_server)
+    if (running)
     {
-        // on_result follows, perhaps before this returns, and ends the call.
-        at_server->cancel();
+        // Without the lock, because on_result may run within this call; it ends the call.
+        running->cancel();
         return;
     }
     apply(changes);
--- a/testsuite/fleet.py
+++ b/testsuite/fleet.py
@@ -7,6 +7,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -15,25 +16,24 @@
 import time
 
 
-# Below the range that the system gives to outgoing connections: one of those could take a
-# port between its choice and its use.
-LISTEN_PORTS = range(10_000, 32_000)
-_used_ports = set()
+# The kernel takes the ports of outgoing connections from 32768 on; a port from there may
+# be in use again before the process that is to listen on it has started.
+FIRST_PORT, LAST_PORT = 10000, 32000
+_handed_out = set()
 
 
 def free_port(kind=socket.SOCK_STREAM):
-    """Returns a loopback port that is free and that this process did not return before."""
+    """Returns a loopback port that is free and was not returned before."""
     while True:
-        port = random.choice(LISTEN_PORTS)
-        if port in _used_ports:
-            continue
-        _used_ports.add(port)
+        port = random.SystemRandom().randrange(FIRST_PORT, LAST_PORT)
         with socket.socket(socket.AF_INET, kind) as probe:
             try:
-                probe.bind(("0.0.0.0", port))
-                return port
+                probe.bind(("127.0.0.1", port))
             except OSError:
-                pass
+                continue
+        if port not in _handed_out:
+            _handed_out.add(port)
+            return port
 
 
 def http_json(port, method, path, body=None, timeout=10):
@@ -280,6 +280,8 @@
             if process.alive():
                 process.send(signal.SIGCONT)
                 process.kill()
+        if kind is None:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
     def run(self, name, program, *arguments):
         command = [os.path.join(self.bin, program)] + [str(a) for a in arguments]
