Add release to the model of the claims protocol

Cause: claim_client::release voids a claim after confirm_dispatch, when the node knows that nothing was sent. The model had no such step. Ruled out: a step of its own between confirm and send; nothing else can free the key in between, so one step gives the same states. Change: label release and a mutant that releases although the call was sent. The model says why done records are left out. Conclusion: releasing is safe as long as nothing was sent.

--- a/spec/claims.pml
+++ b/spec/claims.pml
@@ -1,7 +1,8 @@
 /* At-most-once protocol of docs/design.md section 6.2, for one key.
  * Holders 0..2 each claim the key for one call (a resend is another call); node 3 only
  * reads and carries the table forward. The log may refuse, lose an answer, lose an append,
- * delay an effect, and drop old records. A pause is any delay between two steps.
+ * delay an effect, and drop old records. A pause is any delay between two steps. Done
+ * records are left out: they change what a resend is told, not who may run.
  * Properties: the key is executed at most once; a call answered "not run" is never
  * executed; a voided call never holds the key once claim and void are read.
  */
@@ -209,9 +210,18 @@
         assert(runs <= 1);
         assert(!not_run[n])
        };
+#ifdef MUTANT_RELEASE_AFTER_SEND
+       goto release
+#else
        goto leave
+#endif
+    /* release: confirmed, but the node knows that nothing was sent and nothing will be, as
+     * when the backend server refuses the connection. The caller is told "not run".
+     */
+    :: d_step { !abandoned[n] -> dispatched[n] = true }; goto release
     :: abandoned[n] -> goto give_up
     fi;
+release:
 give_up:
     /* void until that succeeds */
     atomic { forget(n); forget_call(n) };
