Do not send a call that is being cancelled

Cause: cancel() marks a waiting call under the lock and answers "not run" after it. Between the two, dispatch() found the call still in its table and sent it. finish() then released the claim, so the key was free although the call had been sent, and a resend ran a second time. dispatch() also read the claim of a job without the lock under which finish() takes it away. Ruled out: calls cancelled after they were sent; they end through on_result. Change: enqueue() and dispatch() look at the mark under the lock, and dispatch() leaves the queue then. The claim is copied under the lock. The comments name the labels dispatch and release of spec/claims.pml. Conclusion: a cancelled call that was answered "not run" is never sent.

--- a/src/node/executor_core.cpp
+++ b/src/node/executor_core.cpp
@@ -192,7 +192,7 @@
     offer_outcome offered;
     {
         const std::lock_guard lock(mutex_);
-        if (jobs_.count(work->number) == 0)
+        if (work->cancelled || jobs_.count(work->number) == 0)
         {
             return; // cancelled while its key was claimed
         }
@@ -249,9 +249,11 @@
 void executor_core::dispatch(const job_ptr& work)
 {
     std::shared_ptr<http_client_pool> pool;
+    std::shared_ptr<claim_client> claim;
     {
         const std::lock_guard lock(mutex_);
         pool = pool_;
+        claim = work->claim;
     }
     if (!pool)
     {
@@ -261,20 +263,27 @@
     }
     const time_point now = clock::now();
     const bool in_time = now < work->context->deadline;
-    // spec/claims.pml, label confirm: the last step before the call leaves the node.
-    if (!in_time || (work->claim && !work->claim->confirm_dispatch(work->call.id, now)))
+    // spec/claims.pml, label dispatch: the last step before the call leaves the node.
+    if (!in_time || (claim && !claim->confirm_dispatch(work->call.id, now)))
     {
         leave_queue(work, false);
         refuse(work, refusal_reason::deadline, outcome::not_run);
         return;
     }
+    bool ended = false;
     {
+        // cancel() marks the call under this lock and answers "not run" after it.
         const std::lock_guard lock(mutex_);
-        if (jobs_.count(work->number) == 0)
+        ended = work->cancelled || jobs_.count(work->number) == 0;
+        if (!ended)
         {
-            return; // cancelled and answered as not run
+            work->at_server.emplace(); // from here on the call may run
         }
-        work->at_server.emplace(); // from here on the call may run
+    }
+    if (ended)
+    {
+        leave_queue(work, false);
+        return;
     }
     ports_.calls.insert(work->call.id, work->context);
     const auto on_done = [self = shared_from_this(), work](http_result result)
@@ -505,7 +514,7 @@
     {
         if (reply.result == outcome::not_run)
         {
-            // spec/claims.pml, label give_up: nothing of the call runs later.
+            // spec/claims.pml, label release: nothing of the call runs later.
             claim->release(work->call.id);
         }
         else
