Add a soak run over a seeded mix of faults

Cause: single faults were tested one at a time; the requirement is any moment, together or twice. Ruled out: judging by what nodes report.

--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,9 @@
 
 clean:
 	@rm -rf $(BUILD)
+
+# make soak SECONDS=600 SEED=3
+SECONDS ?= 60
+SEED ?= 1
+soak: build
+	@python3 scripts/soak.py $(BUILD) --seconds $(SECONDS) --seed $(SEED)
