Name the labels of the claims model at their code

Cause: catch_up and release of spec/claims.pml had no comment at their code, and verify_carry named only the model of the sheet. Ruled out: further steps of the code that the model lacks; done records change only what a resend is told. Change: comments only. Conclusion: each label of the model is named at the code that implements it.

--- a/src/include/fescueridge/state/carried_stream.hpp
+++ b/src/include/fescueridge/state/carried_stream.hpp
@@ -130,7 +130,8 @@
             return;
         }
         waiting_.emplace_back(raw, std::move(record));
-        // spec/sheet.pml, label verify_carry: nothing from as_of on was dropped.
+        // spec/sheet.pml and spec/claims.pml, label verify_carry: nothing from as_of on
+        // was dropped.
         if (as_of && *as_of >= first_)
         {
             start_from(*as_of);
--- a/src/state/claim_client.cpp
+++ b/src/state/claim_client.cpp
@@ -127,6 +127,7 @@
     return true;
 }
 
+// spec/claims.pml, label release: also after confirm_dispatch().
 void claim_client::release(const call_id& call)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -167,6 +168,7 @@
     while (!stopping_)
     {
         const time_point now = clock::now();
+        // spec/claims.pml, label catch_up: no claim without a complete table.
         const bool can_claim = !queue_.empty() && state_.complete() && caught_up_;
         const bool dones_due = done_due_ && *done_due_ <= now;
         if (!can_claim && voids_.empty() && !dones_due)
