Add the benchmark, its end-to-end cases and baselines

Cause: nobody had measured the decision modules in real processes. Ruled out: a switch in the sheet, because operators must not select a baseline.

--- a/Makefile
+++ b/Makefile
@@ -29,5 +29,8 @@
 lint: build
 	@scripts/run_linter.sh $(BUILD)
 
+bench: build
+	@python3 scripts/bench $(BUILD) $(if $(QUICK),--quick)
+
 clean:
 	@rm -rf $(BUILD)
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -150,6 +150,26 @@
     return result;
 }
 
+control_policy read_experiment(const json& value, const std::string& file)
+{
+    object_reader experiment(value, file, "experiment");
+    const std::string control = experiment.text("control");
+    experiment.reject_unknown_keys();
+    if (control == "full")
+    {
+        return full_control{};
+    }
+    if (control == "no_control")
+    {
+        return no_control{};
+    }
+    if (control == "fixed_limit")
+    {
+        return fixed_limit_control{};
+    }
+    experiment.fail("control", "must be full, no_control or fixed_limit");
+}
+
 } // namespace
 
 node_settings parse_settings(const std::string& text, const std::string& file)
@@ -180,6 +200,10 @@
     result.threads = static_cast<unsigned>(reader.number("threads", 2, 1, 64));
     result.drain_timeout =
         milliseconds(reader.number("drain_timeout_ms", 30'000, 0, 3'600'000));
+    if (const json* experiment = reader.find("experiment"))
+    {
+        result.control = read_experiment(*experiment, file);
+    }
     reader.reject_unknown_keys();
     return result;
 }
--- a/src/include/fescueridge/base/settings.hpp
+++ b/src/include/fescueridge/base/settings.hpp
@@ -6,6 +6,7 @@
 
 #include "fescueridge/base/clock.hpp"
 #include "fescueridge/base/endpoint.hpp"
+#include "fescueridge/base/experiment.hpp"
 #include "fescueridge/base/types.hpp"
 
 namespace fescueridge
@@ -29,6 +30,7 @@
     milliseconds log_retention{std::chrono::hours{24}};
     unsigned threads = 2;
     milliseconds drain_timeout{30'000};
+    control_policy control; ///< For benchmarks only: baselines to compare with.
 };
 
 /// Reads and checks a settings file in JSON with comments. Throws settings_error that
--- a/src/include/fescueridge/node/call_router.hpp
+++ b/src/include/fescueridge/node/call_router.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "fescueridge/base/events.hpp"
+#include "fescueridge/base/experiment.hpp"
 #include "fescueridge/base/types.hpp"
 #include "fescueridge/codec/messages.hpp"
 #include "fescueridge/node/call_context.hpp"
@@ -74,6 +75,7 @@
     id_source& ids;
     const refusal_maker& refusals;
     event_log& events;
+    control_policy control; ///< Other than full_control only in benchmarks.
 };
 
 /// Sends calls to backend servers: chooses a server, lends the retry allowance, retries
--- a/src/include/fescueridge/node/server_executor.hpp
+++ b/src/include/fescueridge/node/server_executor.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "fescueridge/base/events.hpp"
+#include "fescueridge/base/experiment.hpp"
 #include "fescueridge/base/server_state.hpp"
 #include "fescueridge/base/types.hpp"
 #include "fescueridge/node/call_context.hpp"
@@ -72,6 +73,8 @@
 
     /// Called when the server was found dead.
     std::function<void()> on_server_death;
+
+    control_policy control; ///< Other than full_control only in benchmarks.
 };
 
 /// Admits calls to the own backend server and runs them: queue and limit, claims for
--- /dev/null
+++ b/src/node/executor_run.cpp
@@ -0,0 +1,266 @@
+#include <algorithm>
+#include <asio/ip/tcp.hpp>
+#include <fmt/format.h>
+
+#include "executor_core.hpp"
+
+namespace fescueridge::detail
+{
+
+namespace
+{
+
+bool may_be_death(http_failure_kind kind)
+{
+    return kind == http_failure_kind::cut || kind == http_failure_kind::connect_failed;
+}
+
+/// Returns what a caller is told about a failure of its own call.
+refusal_reason reason_of(const http_failure& failure)
+{
+    switch (failure.kind)
+    {
+    case http_failure_kind::timed_out:
+    case http_failure_kind::no_connection:
+        return refusal_reason::deadline;
+    case http_failure_kind::cancelled:
+        return refusal_reason::cancelled;
+    case http_failure_kind::connect_failed:
+    case http_failure_kind::not_sent:
+        return refusal_reason::server_gone;
+    case http_failure_kind::too_large:
+        return refusal_reason::too_large;
+    default:
+        return refusal_reason::server_failed;
+    }
+}
+
+} // namespace
+
+void executor_core::dispatch(const job_ptr& work)
+{
+    std::shared_ptr<http_client_pool> pool;
+    {
+        const std::lock_guard lock(mutex_);
+        pool = pool_;
+    }
+    if (!pool)
+    {
+        leave_queue(work, false);
+        refuse(work, refusal_reason::server_gone, outcome::not_run);
+        return;
+    }
+    const time_point now = clock::now();
+    const bool in_time = now < work->context->deadline;
+    // spec/claims.pml, label confirm: the last step before the call leaves the node.
+    if (!in_time || (work->claim && !work->claim->confirm_dispatch(work->call.id, now)))
+    {
+        leave_queue(work, false);
+        refuse(work, refusal_reason::deadline, outcome::not_run);
+        return;
+    }
+    {
+        const std::lock_guard lock(mutex_);
+        if (jobs_.count(work->number) == 0)
+        {
+            return; // cancelled and answered as not run
+        }
+        work->at_server.emplace(); // from here on the call may run
+    }
+    ports_.calls.insert(work->call.id, work->context);
+    const auto on_done = [self = shared_from_this(), work](http_result result)
+    {
+        self->on_result(work, std::move(result));
+    };
+    http_call_handle handle =
+        pool->send(make_request(*work), work->context->deadline - now, on_done);
+    const std::lock_guard lock(mutex_);
+    work->handle = handle;
+    if (work->cancelled)
+    {
+        handle.cancel();
+    }
+}
+
+http_request executor_core::make_request(const job& work) const
+{
+    http_request request;
+    request.method = work.call.method;
+    request.target = work.call.path;
+    request.headers = work.call.headers;
+    request.headers.push_back({"Fescue-Context", work.call.id.get()});
+    request.headers.push_back({"Fescue-Root", work.call.root.get()});
+    const milliseconds left = work.context->deadline - clock::now();
+    request.headers.push_back({"Fescue-Timeout-Ms", fmt::format("{}", left.count())});
+    if (work.call.key)
+    {
+        request.headers.push_back({"Idempotency-Key", work.call.key->get()});
+    }
+    request.body = work.call.body;
+    return request;
+}
+
+void executor_core::on_result(const job_ptr& work, http_result result)
+{
+    ports_.calls.erase(work->call.id);
+    work->context->end();
+    if (auto* response = std::get_if<http_response>(&result))
+    {
+        on_response(work, std::move(*response));
+        return;
+    }
+    const auto& failure = std::get<http_failure>(result);
+    if (may_be_death(failure.kind))
+    {
+        investigate_cut(work, failure);
+        return;
+    }
+    on_failure(work, failure);
+}
+
+void executor_core::on_response(const job_ptr& work, http_response response)
+{
+    const std::string* declared = find_header(response.headers, "Fescue-Outcome");
+    const bool shed = declared != nullptr && *declared == "not_run";
+    const bool success = response.status < 500;
+    leave_queue(work, success);
+    const auto changed = ports_.suspicions.on_completed(work->request);
+    if (!changed.empty())
+    {
+        ports_.on_suspicion(changed);
+    }
+    reply_message reply;
+    reply.id = work->call.id;
+    reply.result = success ? outcome::ok : outcome::failed;
+    if (!success)
+    {
+        const refusal_reason cause = work->context->saw_overload()
+                                         ? refusal_reason::overload_downstream
+                                         : refusal_reason::server_failed;
+        reply.reason = shed ? refusal_reason::overload : cause;
+        reply.result = shed ? outcome::not_run : outcome::failed;
+    }
+    reply.status = response.status;
+    reply.headers = std::move(response.headers);
+    reply.body = std::move(response.body);
+    if (!success)
+    {
+        const reply_message explained =
+            ports_.refusals.make({work->call.id, work->call.caller, work->call.service,
+                                  work->call.rank, work->call.path},
+                                 *reply.reason, reply.result);
+        reply.refusal_token = explained.refusal_token;
+    }
+    finish(work, std::move(reply));
+}
+
+void executor_core::on_failure(const job_ptr& work, const http_failure& failure)
+{
+    leave_queue(work, false);
+    const outcome result = failure.sent ? outcome::unknown : outcome::not_run;
+    refuse(work, reason_of(failure), result);
+}
+
+void executor_core::leave_queue(const job_ptr& work, bool success)
+{
+    queue_changes changes;
+    {
+        const std::lock_guard lock(mutex_);
+        const time_point now = clock::now();
+        if (!work->at_server || work->cancelled)
+        {
+            changes = queue_.cancel(work->number, now);
+        }
+        else
+        {
+            const auto total = work->at_server->elapsed();
+            const auto elsewhere = std::min(total, work->context->downstream.total());
+            changes = queue_.finish(work->number, total - elsewhere, success, now);
+        }
+    }
+    apply(changes);
+}
+
+void executor_core::investigate_cut(const job_ptr& work, const http_failure& failure)
+{
+    std::optional<endpoint> target;
+    {
+        const std::lock_guard lock(mutex_);
+        cut_calls_.push_back({work, failure});
+        if (!probing_ && server_)
+        {
+            probing_ = true;
+            target = server_->address;
+        }
+    }
+    if (!target)
+    {
+        return; // the probe under way decides on this call too
+    }
+    auto socket = std::make_shared<asio::ip::tcp::socket>(ports_.io);
+    const asio::ip::tcp::endpoint address(asio::ip::make_address(target->address),
+                                          target->port);
+    socket->async_connect(
+        address, [self = shared_from_this(), socket](const asio::error_code& error)
+        { self->on_probe(!error); });
+}
+
+std::vector<cut_call> executor_core::take_cut_calls()
+{
+    std::vector<cut_call> result;
+    const std::lock_guard lock(mutex_);
+    result.swap(cut_calls_);
+    probing_ = false;
+    return result;
+}
+
+void executor_core::on_probe(bool alive)
+{
+    const std::vector<cut_call> cut = take_cut_calls();
+    if (!alive)
+    {
+        std::vector<job_ptr> running;
+        for (const cut_call& call : cut)
+        {
+            if (call.failure.sent)
+            {
+                running.push_back(call.work);
+            }
+        }
+        incarnation number;
+        {
+            const std::lock_guard lock(mutex_);
+            number = server_ ? server_->number : incarnation(0);
+        }
+        strike(running, number);
+        lose_server();
+        ports_.on_server_death();
+    }
+    // The strikes are recorded before any caller can send the request again.
+    for (const cut_call& call : cut)
+    {
+        on_failure(call.work, call.failure);
+    }
+}
+
+void executor_core::strike(const std::vector<job_ptr>& running, incarnation server)
+{
+    std::vector<fingerprint> requests;
+    requests.reserve(running.size());
+    for (const job_ptr& work : running)
+    {
+        requests.push_back(work->request);
+    }
+    if (requests.empty())
+    {
+        return;
+    }
+    const bool alone = running.size() == 1 && running.front()->alone;
+    ports_.events.record(
+        "server_died_with_calls",
+        {{"calls", static_cast<std::int64_t>(running.size())}, {"alone", alone}});
+    ports_.on_suspicion(
+        ports_.suspicions.on_server_death(requests, server, alone, wall_clock_ms()));
+}
+
+} // namespace fescueridge::detail
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -130,16 +130,14 @@
                                   quarantine_->publish(server->service, records);
                               }
                           },
-                          [this]
-                          {
-                              monitor_.on_death();
-                          }};
+                          [this] { monitor_.on_death(); },
+                          settings_.control};
 }
 
 router_ports node::impl::make_router_ports()
 {
     return router_ports{io_,     settings_.node, peers_,    executor_, pressure_,
-                        budget_, ids_,           refusals_, events_};
+                        budget_, ids_,           refusals_, events_,   settings_.control};
 }
 
 call_port_parts node::impl::make_call_port_parts()
--- a/src/node/outbound_call.cpp
+++ b/src/node/outbound_call.cpp
@@ -75,7 +75,9 @@
             }
         });
     const std::optional<milliseconds> hedge_after = balancer_->hedge_delay(now);
-    if (!request_.idempotent || !hedge_after || *hedge_after >= left)
+    const bool may_hedge = request_.idempotent &&
+                           std::holds_alternative<full_control>(state_->ports.control);
+    if (!may_hedge || !hedge_after || *hedge_after >= left)
     {
         return;
     }
@@ -257,9 +259,8 @@
         }
         failure.free_retry_used = free_retry_used_;
     }
-    const retry_decision decision = decide_retry(failure);
-    if (std::holds_alternative<retry_never>(decision) ||
-        !pay_for(decision, request_.parent->allowance, state_->ports.budget))
+    const retry_decision decision = decide(failure);
+    if (std::holds_alternative<retry_never>(decision) || !pay(decision))
     {
         return false;
     }
@@ -279,6 +280,29 @@
     return start_attempt(paid ? exclusion::preferred : exclusion::strict);
 }
 
+retry_decision outbound_call::decide(const failed_attempt& failure) const
+{
+    const control_policy& control = state_->ports.control;
+    if (std::holds_alternative<no_control>(control))
+    {
+        return retry_never{};
+    }
+    if (const auto* fixed = std::get_if<fixed_limit_control>(&control))
+    {
+        const std::lock_guard lock(mutex_);
+        return request_.idempotent && excluded_.size() < fixed->tries
+                   ? retry_decision(retry_paid{})
+                   : retry_decision(retry_never{});
+    }
+    return decide_retry(failure);
+}
+
+bool outbound_call::pay(const retry_decision& decision) const
+{
+    return !std::holds_alternative<full_control>(state_->ports.control) ||
+           pay_for(decision, request_.parent->allowance, state_->ports.budget);
+}
+
 void outbound_call::on_hedge_time()
 {
     {
@@ -374,110 +398,4 @@
         result);
 }
 
-void router_state::add(const call_id& id, pending_attempt attempt)
-{
-    shard& part = shards[std::hash<call_id>{}(id) % shard_count];
-    const std::lock_guard lock(part.mutex);
-    part.attempts.emplace(id, std::move(attempt));
-}
-
-void router_state::remove(const call_id& id)
-{
-    take(id);
-}
-
-std::shared_ptr<outbound_call> router_state::take(const call_id& id)
-{
-    shard& part = shards[std::hash<call_id>{}(id) % shard_count];
-    const std::lock_guard lock(part.mutex);
-    const auto found = part.attempts.find(id);
-    if (found == part.attempts.end())
-    {
-        return nullptr;
-    }
-    auto call = found->second.call.lock();
-    part.attempts.erase(found);
-    return call;
-}
-
-std::vector<std::pair<call_id, std::shared_ptr<outbound_call>>>
-router_state::take_all(const link_ptr& via)
-{
-    std::vector<std::pair<call_id, std::shared_ptr<outbound_call>>> result;
-    for (shard& part : shards)
-    {
-        const std::lock_guard lock(part.mutex);
-        for (auto it = part.attempts.begin(); it != part.attempts.end();)
-        {
-            if (it->second.via != via)
-            {
-                ++it;
-                continue;
-            }
-            if (auto call = it->second.call.lock())
-            {
-                result.emplace_back(it->first, std::move(call));
-            }
-            it = part.attempts.erase(it);
-        }
-    }
-    return result;
-}
-
-std::size_t router_state::size() const
-{
-    std::size_t total = 0;
-    for (const shard& part : shards)
-    {
-        const std::lock_guard lock(part.mutex);
-        total += part.attempts.size();
-    }
-    return total;
-}
-
 } // namespace fescueridge::detail
-
-namespace fescueridge
-{
-
-call_router::call_router(router_ports ports)
-    : state_(std::make_shared<detail::router_state>(std::move(ports)))
-{
-}
-
-call_router::~call_router() = default;
-
-void call_router::send(outbound_request request, reply_callback done)
-{
-    std::make_shared<detail::outbound_call>(state_, std::move(request), std::move(done))
-        ->begin();
-}
-
-void call_router::on_reply(reply_message reply)
-{
-    const call_id id = reply.id;
-    if (const auto call = state_->take(id))
-    {
-        call->on_reply(id, std::move(reply), true);
-    }
-}
-
-void call_router::on_link_closed(const link_ptr& closed)
-{
-    for (const auto& [id, call] : state_->take_all(closed))
-    {
-        reply_message reply;
-        reply.id = id;
-        reply.result = outcome::unknown;
-        reply.reason = refusal_reason::link_broken;
-        reply.status = http_status(refusal_reason::link_broken);
-        call->on_reply(id, std::move(reply), true);
-    }
-}
-
-std::size_t call_router::pending() const
-{
-    return state_->size();
-}
-
-} // namespace fescueridge
--- a/src/node/outbound_call.hpp
+++ b/src/node/outbound_call.hpp
@@ -92,6 +92,8 @@
     void on_hedge_time();
     void note_result(const attempt& ended, const reply_message& reply);
     bool try_again(const attempt& ended, const reply_message& reply, bool sent);
+    retry_decision decide(const failed_attempt& failure) const;
+    bool pay(const retry_decision& decision) const;
     void finish(reply_message reply);
     reply_message refusal(refusal_reason reason, outcome result) const;
     void stop_other_attempts();
