Cancel a running call without the executor's lock

Cause: executor_core cancelled the HTTP call while it held its mutex. The pool may run the cancellation at once on the same thread, and on_result then waits for the same mutex: both threads of the node stop for good. The first lost hedge was enough. Ruled out: the control loop and the link hub; the stacks of a stopped node show both threads in leave_queue, one of them below cancel. Change: the handle is copied under the lock and cancelled after it.

--- a/src/node/executor_core.cpp
+++ b/src/node/executor_core.cpp
@@ -289,6 +289,7 @@
 {
     job_ptr work;
     queue_changes changes;
+    std::optional<http_call_handle> running;
     {
         const std::lock_guard lock(mutex_);
         const auto found = numbers_.find(id);
@@ -300,10 +301,18 @@
         work->cancelled = true;
         if (work->at_server)
         {
-            work->handle.cancel(); // on_result follows and ends the call
-            return;
+            running = work->handle;
+        }
+        else
+        {
+            changes = queue_.cancel(work->number, clock::now());
         }
-        changes = queue_.cancel(work->number, clock::now());
+    }
+    if (running)
+    {
+        // on_result ends the call, possibly before cancel returns; it takes the lock.
+        running->cancel();
+        return;
     }
     apply(changes);
     refuse(work, refusal_reason::cancelled, outcome::not_run);
--- a/src/node/executor_run.cpp
+++ b/src/node/executor_run.cpp
@@ -74,9 +74,14 @@
     };
     http_call_handle handle =
         pool->send(make_request(*work), work->context->deadline - now, on_done);
-    const std::lock_guard lock(mutex_);
-    work->handle = handle;
-    if (work->cancelled)
+    bool cancelled = false;
+    {
+        const std::lock_guard lock(mutex_);
+        work->handle = handle;
+        cancelled = work->cancelled;
+    }
+    // The pool may call on_result before cancel returns, and that takes the lock.
+    if (cancelled)
     {
         handle.cancel();
     }
