Do not hedge calls to services under pressure

Cause: at 1.5 times the capacity the 95th percentile is queue time, so that hedges were sent to a service without free slots: 1.03 executions for each root. Ruled out: the admission level; it kept the slots in use, the duplicates filled them. Change: the hedge is left out while the service, or one that such calls touch, has an admission level below open. Calling nodes learn touched services from every reply.

--- a/src/include/fescueridge/overload/pressure.hpp
+++ b/src/include/fescueridge/overload/pressure.hpp
@@ -107,6 +107,11 @@
     root_decision decide(std::uint16_t fraction, priority rank, const service_name& entry,
                          const std::string& path, time_point now);
 
+    /// Returns true when the service or one that its calls likely touch refuses a part of
+    /// its calls, so that it has no slots to spare for hedges.
+    bool under_pressure(const service_name& service, const std::string& path,
+                        time_point now) const;
+
     /// Returns the combined and aged level of a service; nothing when none is known.
     std::optional<admission_level> level(const service_name& service,
                                          time_point now) const;
--- a/src/node/outbound_call.cpp
+++ b/src/node/outbound_call.cpp
@@ -226,6 +226,12 @@
     request_.parent->allowance.give_back(reply.allowance_left);
     request_.parent->add_levels(reply.levels);
     state_->ports.pressure.observe(reply.levels, now);
+    if (request_.parent->depth > 0)
+    {
+        // Roots are recorded with all their attempts when they end.
+        state_->ports.pressure.observe_root(request_.service, request_.path, reply.levels,
+                                            reply.result == outcome::ok);
+    }
     balancer_->on_finish(ended.node, ended.started, ended.running.elapsed(), reply.result,
                          reply.reason, now);
     if (reply.reason && reply.result == outcome::not_run)
@@ -312,7 +318,11 @@
             return;
         }
     }
-    if (!pay_for(retry_paid{}, request_.parent->allowance, state_->ports.budget))
+    // Without free slots a hedge only takes the slot of another call: at 1.5 times the
+    // capacity of the deepest service hedges were 3% of its executions.
+    if (state_->ports.pressure.under_pressure(request_.service, request_.path,
+                                              clock::now()) ||
+        !pay_for(retry_paid{}, request_.parent->allowance, state_->ports.budget))
     {
         return;
     }
--- a/src/overload/pressure_table.cpp
+++ b/src/overload/pressure_table.cpp
@@ -322,6 +322,20 @@
     return *refusal;
 }
 
+bool pressure_table::under_pressure(const service_name& service, const std::string& path,
+                                    time_point now) const
+{
+    for (const auto& touched : impl_->likely_services(service, path))
+    {
+        const auto known = level(touched, now);
+        if (known && position_of(*known) < open_position)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
 std::optional<admission_level> pressure_table::level(const service_name& service,
                                                      time_point now) const
 {
--- a/src/overload/pressure_test.cpp
+++ b/src/overload/pressure_test.cpp
@@ -38,6 +38,25 @@
     cr_assert_eq(root_fraction(root_id{"r"}), root_fraction(root_id{"r"}));
 }
 
+// Guards against hedges that take slots of a deeper service which has none to spare, and
+// against holding back hedges for a service that the calls do not touch.
+Test(overload_pressure, reports_pressure_of_touched_services)
+{
+    pressure_table table;
+    const admission_level open = level_at(menu, open_position);
+    const admission_level closed = level_at(pricing, 2 * fraction_count);
+    table.observe({open, closed}, at(0));
+    for (int i = 0; i < 20; ++i)
+    {
+        table.observe_root(menu, "/a/x", {open, closed}, true);
+        table.observe_root(menu, "/b/x", {open}, true);
+    }
+    cr_assert(table.under_pressure(menu, "/a/1", at(1)));
+    cr_assert_not(table.under_pressure(menu, "/b/1", at(1)));
+    cr_assert(table.under_pressure(pricing, "/c", at(1)));
+    cr_assert_not(table.under_pressure(menu, "/a/1", at(60'000)));
+}
+
 // Guards against roots that a deeper service would refuse, and against refusing roots of
 // other paths, or of priority 0, for it.
 Test(overload_pressure, refuses_for_likely_services_only)
