Mark servers whose calls are overtaken by hedges as stragglers

Cause: a call to a slow server is cancelled when its hedge answers, so its latency counts only as the hedge delay. The estimate stayed near twice that of its peers, below the factor of 3, and the slow server kept more than 1% of the calls. Ruled out: probes; with 100 calls a second from a node they are 0.5% of the calls. Change: four cancelled slow calls in a row without an answer make a straggler, while some peer answers. An answer ends it by the known rule. Unit test added.

--- a/src/include/fescueridge/routing/detail/server_record.hpp
+++ b/src/include/fescueridge/routing/detail/server_record.hpp
@@ -40,6 +40,7 @@
     time_point last_sample;
     double estimate_us = default_latency_us; ///< With overdue running calls.
     double refusals = 0;                     ///< Share of recent results, 0 to 1.
+    std::uint32_t overtaken = 0; ///< Slow calls cancelled since the last answer.
     bool straggler = false;
     bool present = true;
     std::optional<time_point> out_until;
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -24,6 +24,12 @@
 // Medians under 1 ms differ by scheduling and network delay alone.
 constexpr double least_median_us = 1000;
 
+// A call whose hedge answers first is cancelled, so its latency stays unknown and the
+// estimate of a slow server stays near the hedge delay. So many cancelled calls in a row
+// make a straggler: for a healthy server, of whose calls 5% are hedged, the chance is
+// under 1 in 100,000.
+constexpr std::uint32_t straggler_overtaken = 4;
+
 // A straggler is probed each second, but with at most one call in 200: more would show
 // in the 99th percentile of a caller with little traffic.
 constexpr milliseconds probe_interval{1'000};
@@ -137,11 +143,13 @@
     void mark_straggler(server_record& candidate, time_point now)
     {
         std::vector<double> peers;
+        bool peers_answer = false;
         for (const auto& [node, each] : servers)
         {
             if (&each != &candidate && each.usable(now))
             {
                 peers.push_back(each.estimate_us);
+                peers_answer = peers_answer || each.overtaken < straggler_overtaken;
             }
         }
         if (peers.empty())
@@ -155,7 +163,9 @@
         std::nth_element(peers.begin(), middle, peers.end());
         const double median = std::max(least_median_us, *middle);
         const double factor = candidate.straggler ? straggler_leave : straggler_enter;
-        candidate.straggler = candidate.estimate_us > factor * median;
+        // When no server answers in time, their callers give up and none is slower.
+        const bool overtaken = peers_answer && candidate.overtaken >= straggler_overtaken;
+        candidate.straggler = overtaken || candidate.estimate_us > factor * median;
     }
 
     bool probe_due(const server_record& each, time_point now) const
@@ -211,6 +221,7 @@
             each.latency_us.reset();
             each.refusals = 0;
             each.straggler = false;
+            each.overtaken = 0;
         }
         // Servers found at the first update have been running; only announced cold ones
         // among them start slowly.
@@ -300,9 +311,10 @@
     }
     const auto us = static_cast<double>(latency.count());
     const bool cancelled = reason == refusal_reason::cancelled;
+    const bool slow = us > each->latency_us.value_or(0);
     // A call that ended early by a fault or a cancel only shows that it took at least
     // this long.
-    if (result == outcome::ok || us > each->latency_us.value_or(0))
+    if (result == outcome::ok || slow)
     {
         each->add_sample(us, now);
         impl_->latencies.add(latency, now);
@@ -310,6 +322,11 @@
     if (!cancelled)
     {
         each->add_result(result != outcome::ok);
+        each->overtaken = 0;
+    }
+    else if (slow)
+    {
+        ++each->overtaken;
     }
 }
 
--- a/src/routing/balancer_test.cpp
+++ b/src/routing/balancer_test.cpp
@@ -319,3 +319,40 @@
     cr_assert_eq(balancer.pool_size_target(node, at(9'000)), 30);
     cr_assert_eq(balancer.pool_size_target(node, at(30'000)), 1);
 }
+
+// Guards against a slow server that stays in use because its hedged calls are cancelled
+// before their latency is known, and against one that is left out for good.
+Test(routing_balancer, server_with_overtaken_calls_is_a_straggler)
+{
+    backend_server_balancer balancer(domain_name{"a"});
+    balancer.update({member("slow"), member("fast")}, at(0));
+    const auto finish = [&](const char* name, int ms, int now, bool overtaken)
+    {
+        const node_id node{name};
+        const auto call = balancer.on_start(node, at(now - ms));
+        const auto reason =
+            overtaken ? std::optional(refusal_reason::cancelled) : std::nullopt;
+        balancer.on_finish(node, call, milliseconds(ms),
+                           overtaken ? outcome::unknown : outcome::ok, reason, at(now));
+    };
+    const auto is_straggler = [&](int now)
+    {
+        random_engine random(1);
+        balancer.choose(at(now), random);
+        const auto view = balancer.view(at(now));
+        const auto slow =
+            std::find_if(view.begin(), view.end(),
+                         [](const auto& row) { return row.node == node_id{"slow"}; });
+        return slow->straggler;
+    };
+    finish("slow", 20, 100, false);
+    finish("fast", 20, 100, false);
+    for (int i = 1; i <= 4; ++i)
+    {
+        cr_assert_not(is_straggler(100 + 100 * i));
+        finish("slow", 40, 120 + 100 * i, true);
+    }
+    cr_assert(is_straggler(600));
+    finish("slow", 20, 5'000, false);
+    cr_assert_not(is_straggler(5'100));
+}
