--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,9 @@
 lint: build
 	@scripts/run_linter.sh $(BUILD)
 
+bench: build
+	@python3 scripts/bench $(BUILD) $(if $(QUICK),--quick)
+
 clean:
 	@rm -rf $(BUILD)
 
