Release the lock of the executor before a running call is cancelled

Cause: executor_core::cancel() and dispatch() called http_call_handle::cancel() with their mutex held. On an io thread the strand of the connection runs the abort at once, on_result() follows inside cancel() and takes the same mutex: the thread waits for itself, and every other user of the executor waits for it. The node answers nothing any more, neither links, gossip nor the operator port.

Ruled out: links, gossip and the member table. Stack traces of the stuck node show leave_queue(), poll() and load() waiting for the executor's mutex only.

Change: both copy the handle under the lock and cancel after it is released.

--- a/src/node/executor_core.cpp
+++ b/src/node/executor_core.cpp
@@ -283,11 +283,15 @@
     };
     http_call_handle handle =
         pool->send(make_request(*work), work->context->deadline - now, on_done);
-    const std::lock_guard lock(mutex_);
-    work->handle = handle;
-    if (work->cancelled)
+    bool cancelled = false;
+    {
+        const std::lock_guard lock(mutex_);
+        work->handle = handle;
+        cancelled = work->cancelled;
+    }
+    if (cancelled)
     {
-        handle.cancel();
+        handle.cancel(); // may call on_done at once, which takes the lock
     }
 }
 
@@ -523,6 +527,8 @@
 {
     job_ptr work;
     queue_changes changes;
+    http_call_handle handle;
+    bool at_server = false;
     {
         const std::lock_guard lock(mutex_);
         const auto found = numbers_.find(id);
@@ -532,12 +538,20 @@
         }
         work = jobs_.at(found->second);
         work->cancelled = true;
-        if (work->at_server)
+        at_server = work->at_server.has_value();
+        if (at_server)
         {
-            work->handle.cancel(); // on_result follows and ends the call
-            return;
+            handle = work->handle;
         }
-        changes = queue_.cancel(work->number, clock::now());
+        else
+        {
+            changes = queue_.cancel(work->number, clock::now());
+        }
+    }
+    if (at_server)
+    {
+        handle.cancel(); // on_result follows, perhaps at once, and ends the call
+        return;
     }
     apply(changes);
     refuse(work, refusal_reason::cancelled, outcome::not_run);
--- /dev/null
+++ b/src/node/server_executor_test.cpp
@@ -0,0 +1,99 @@
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <criterion/criterion.h>
+#include <future>
+#include <thread>
+
+#include "fescueridge/node/call_context.hpp"
+#include "fescueridge/node/server_executor.hpp"
+
+using namespace fescueridge;
+
+namespace
+{
+
+constexpr auto sheet_text =
+    "kind,caller,service,priority,limit_per_s,timeout_ms,at_most_once,path,note\n"
+    "rule,*,till,5,,,,,\n";
+
+/// An executor whose backend server accepts connections and never answers.
+struct executor_fixture
+{
+    executor_fixture()
+    {
+        sheets.adopt(sheet_version(1), log_offset(1), sheet_text);
+        events.echo(false);
+        server_announcement server;
+        server.service = service_name("till");
+        server.address = {"127.0.0.1", silent_server.local_endpoint().port()};
+        server.slots = slot_count(4);
+        server.connections = connection_count(4);
+        server.number = incarnation(1);
+        executor.announce(server);
+        thread = std::thread([this] { io.run(); });
+    }
+
+    ~executor_fixture()
+    {
+        io.stop();
+        thread.join();
+    }
+
+    static call_message call()
+    {
+        call_message message;
+        message.id = call_id("c1");
+        message.root = root_id("r1");
+        message.caller = caller_name("tablet");
+        message.service = service_name("till");
+        message.rank = priority(5);
+        message.time_left = milliseconds(20'000);
+        message.method = "GET";
+        message.path = "/";
+        return message;
+    }
+
+    /// Runs a step on the io thread, as the steps of links and timers run.
+    void run(const std::function<void()>& step) { asio::post(io, step); }
+
+    asio::io_context io;
+    asio::executor_work_guard<asio::io_context::executor_type> work =
+        asio::make_work_guard(io);
+    asio::ip::tcp::acceptor silent_server{
+        io, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
+    sheet_holder sheets;
+    refusal_maker refusals{node_id("n1"), domain_name("a"), sheets};
+    call_table calls;
+    suspicion_table suspicions;
+    event_log events{node_id("n1"), incarnation(1)};
+    server_executor executor{executor_ports{io, sheets, refusals, calls, suspicions,
+                                            events, [](const auto& /*records*/) {},
+                                            [] {
+                                            }}};
+    std::thread thread;
+};
+
+} // namespace
+
+// Guards against a node that stops for good when a running call is cancelled: on an io
+// thread the cancelled call ends inside cancel(), which must not hold the lock then.
+Test(server_executor, cancel_of_a_running_call_on_an_io_thread_returns, .timeout = 20)
+{
+    executor_fixture fixture;
+    std::promise<outcome> ended;
+    fixture.run(
+        [&]
+        {
+            fixture.executor.execute(executor_fixture::call(), [&](reply_message reply)
+                                     { ended.set_value(reply.result); });
+        });
+    // Time for the connection to open and the request to be written.
+    std::this_thread::sleep_for(milliseconds(300));
+    cr_assert_eq(fixture.executor.in_flight(), 1);
+    fixture.run([&] { fixture.executor.cancel(call_id("c1")); });
+    auto result = ended.get_future();
+    cr_assert(result.wait_for(std::chrono::seconds(5)) == std::future_status::ready);
+    cr_expect(result.get() != outcome::ok);
+    cr_expect_eq(fixture.executor.in_flight(), 0);
+}
