Take over sheet versions of members without rebuilding the tables

Cause: every change that gossip reports made the node copy all members, rebuild the balancers of all services and write an event member_changed, also when only the sheet version of a member had changed.

Ruled out: fewer reports from gossip; status and the pull of newer sheets need them.

Change: a batch in which nothing but sheet versions differs is written into the table in place and is no event. Any other batch takes the old path.

The time line keeps 4,096 events, so at 29 events a second it held 2.4 minutes.

Conclusion: the cost of sheet versions no longer grows with members x services.

--- a/src/include/fescueridge/node/peer_table.hpp
+++ b/src/include/fescueridge/node/peer_table.hpp
@@ -34,6 +34,12 @@
     /// Takes over the members that gossip knows, and this node's own record.
     void update(const member_record& self, const std::vector<member_view>& members);
 
+    /// Takes over changes that concern nothing but the sheet versions of known members,
+    /// in place: at the design size this is the most frequent change by far, and
+    /// rebuilding all balancers took 3 ms for 6,900 members. Returns false when there is
+    /// any other change; then update() must follow.
+    bool update_sheet_versions(const std::vector<member_change>& changes);
+
     /// Returns the balancer of a service, or null when no node has a server of it.
     std::shared_ptr<backend_server_balancer> balancer(const service_name& service) const;
 
@@ -79,6 +85,7 @@
     mutable std::shared_mutex mutex_;
     std::vector<member_view> members_;
     std::unordered_map<node_id, endpoint> endpoints_;
+    std::unordered_map<node_id, std::size_t> places_; // in members_
     std::unordered_map<service_name, std::shared_ptr<backend_server_balancer>> balancers_;
     std::unordered_set<node_id> lost_links_;
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -333,6 +333,12 @@
 
 void node::impl::on_member_changes(const std::vector<member_change>& changes)
 {
+    // Sheet versions are no events: each sheet would fill the time line with one event for
+    // each member.
+    if (peers_.update_sheet_versions(changes))
+    {
+        return;
+    }
     refresh_peers();
     for (const member_change& change : changes)
     {
--- a/src/node/peer_table.cpp
+++ b/src/node/peer_table.cpp
@@ -1,6 +1,7 @@
 #include "fescueridge/node/peer_table.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 #include "fescueridge/base/clock.hpp"
 
@@ -23,6 +24,20 @@
     return result;
 }
 
+/// Returns true if nothing differs that routing or the operator port uses, but for the
+/// sheet version.
+bool differ_in_sheet_only(const member_view& a, const member_view& b)
+{
+    const auto fields = [](const member_view& view)
+    {
+        const member_record& record = view.record;
+        return std::tie(view.status, record.number, record.link, record.operator_port,
+                        record.gossip, record.domain, record.region, record.service,
+                        record.state, record.warm_up, record.slots);
+    };
+    return fields(a) == fields(b);
+}
+
 } // namespace
 
 peer_table::peer_table(node_id self, domain_name domain)
@@ -38,13 +53,35 @@
     members_.push_back({self, liveness::alive});
     members_.insert(members_.end(), members.begin(), members.end());
     endpoints_.clear();
+    places_.clear();
     for (const member_view& member : members)
     {
         endpoints_[member.record.node] = member.record.link;
+        places_[member.record.node] = places_.size() + 1; // the own record is first
     }
     rebuild_balancers();
 }
 
+bool peer_table::update_sheet_versions(const std::vector<member_change>& changes)
+{
+    const std::unique_lock lock(mutex_);
+    for (const member_change& change : changes)
+    {
+        const auto place = places_.find(change.member.record.node);
+        if (change.kind != change_kind::changed || place == places_.end())
+        {
+            return false;
+        }
+        member_view& known = members_[place->second];
+        if (!differ_in_sheet_only(known, change.member))
+        {
+            return false;
+        }
+        known = change.member;
+    }
+    return true;
+}
+
 bool peer_table::is_link_up(const member_view& member) const
 {
     return member.record.node == self_ || (member.status != liveness::dead &&
--- /dev/null
+++ b/src/node/peer_table_test.cpp
@@ -0,0 +1,65 @@
+#include <criterion/criterion.h>
+
+#include "fescueridge/node/peer_table.hpp"
+
+using namespace fescueridge;
+
+namespace
+{
+
+member_view member(const std::string& name)
+{
+    member_view view;
+    view.record.node = node_id(name);
+    view.record.domain = domain_name("a");
+    view.record.service = service_name("till");
+    view.record.state = server_state::ready;
+    view.record.slots = slot_count(5);
+    return view;
+}
+
+struct table_of_three
+{
+    table_of_three() { peers.update(self.record, {first, second}); }
+
+    member_view self = member("n0");
+    member_view first = member("n1");
+    member_view second = member("n2");
+    peer_table peers{node_id("n0"), domain_name("a")};
+};
+
+} // namespace
+
+// Guards against sheet versions being lost, or taken over for the wrong member, when the
+// tables are not rebuilt.
+Test(peer_table, takes_sheet_versions_in_place)
+{
+    table_of_three fixture;
+    fixture.second.record.sheet = sheet_version(7);
+    cr_expect(
+        fixture.peers.update_sheet_versions({{change_kind::changed, fixture.second}}));
+    const auto holder = fixture.peers.holder_of_newer_sheet(sheet_version(6));
+    cr_assert(holder.has_value());
+    cr_expect(*holder == node_id("n2"));
+    cr_expect(!fixture.peers.holder_of_newer_sheet(sheet_version(7)));
+    const auto members = fixture.peers.members();
+    cr_assert_eq(members.size(), 3);
+    cr_expect_eq(members[1].record.sheet.get(), 0U);
+}
+
+// Guards against a change that routing needs being taken for one of the sheet version.
+Test(peer_table, leaves_other_changes_to_a_full_update)
+{
+    table_of_three fixture;
+    member_view draining = fixture.first;
+    draining.record.state = server_state::draining;
+    cr_expect(!fixture.peers.update_sheet_versions({{change_kind::changed, draining}}));
+    member_view suspect = fixture.first;
+    suspect.status = liveness::suspect;
+    cr_expect(!fixture.peers.update_sheet_versions({{change_kind::suspected, suspect}}));
+    cr_expect(!fixture.peers.update_sheet_versions({{change_kind::changed, suspect}}));
+    cr_expect(
+        !fixture.peers.update_sheet_versions({{change_kind::changed, member("n9")}}));
+    cr_expect(
+        !fixture.peers.update_sheet_versions({{change_kind::joined, fixture.first}}));
+}
