--- a/src/include/fescueridge/base/settings.hpp
+++ b/src/include/fescueridge/base/settings.hpp
@@ -22,7 +22,8 @@
     endpoint listen_link;     ///< Links from other nodes.
     endpoint listen_operator; ///< Operators' HTTP and server announcements.
     endpoint listen_gossip;   ///< UDP.
-    endpoint advertised_link; ///< Told to other nodes; differs behind address translation.
+    endpoint
+        advertised_link; ///< Told to other nodes; differs behind address translation.
     endpoint advertised_gossip;
     std::vector<endpoint> contacts; ///< Gossip addresses of a few other nodes.
     std::optional<endpoint> log_service;
