--- a/src/base/base_test.cpp
+++ b/src/base/base_test.cpp
@@ -54,6 +54,25 @@
     cr_assert(key_at_fault(valid_settings, "\"north\"", "7") == "region");
 }
 
+// Guards against a benchmark that measures full control as its baseline.
+Test(base_settings, reads_the_experiment_of_benchmarks)
+{
+    const std::string region = "\"region\": \"north\"";
+    const std::string text = valid_settings;
+    const auto control_of = [&](const std::string& value)
+    {
+        std::string changed = text;
+        changed.replace(changed.find(region), region.size(),
+                        region + ", \"experiment\": {\"control\": \"" + value + "\"}");
+        return parse_settings(changed, "node.json").control;
+    };
+    cr_assert(std::holds_alternative<full_control>(
+        parse_settings(valid_settings, "node.json").control));
+    cr_assert(std::holds_alternative<no_control>(control_of("no_control")));
+    cr_assert(std::holds_alternative<fixed_limit_control>(control_of("fixed_limit")));
+    cr_assert_throw(control_of("other"), settings_error);
+}
+
 // Guards against addresses with trailing text, missing parts or ports out of range.
 Test(base_endpoint, rejects_malformed_addresses)
 {
--- a/testsuite/fleet.py
+++ b/testsuite/fleet.py
@@ -6,18 +6,33 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
 import tempfile
 import time
 
+_given_ports = set()
+
 
 def free_port(kind=socket.SOCK_STREAM):
-    """Returns a loopback port that was free a moment ago."""
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a loopback port that was free a moment ago, and never the same one twice.
+
+    The ports lie below those that the kernel gives to outgoing connections: with many
+    processes one of these often takes the port before its server is started.
+    """
+    while True:
+        port = random.randrange(10_000, 32_000)
+        if port in _given_ports:
+            continue
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _given_ports.add(port)
+        return port
 
 
 def http_json(port, method, path, body=None, timeout=10):
