--- a/testsuite/fleet.py
+++ b/testsuite/fleet.py
@@ -15,6 +15,8 @@
 import threading
 import time
 
+_given_ports = set()
+
 
 # Below the range that the system gives to outgoing connections: one of those could take a
 # port between its choice and its use.
