--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -140,6 +140,14 @@
             time.sleep(duration)
             self.start_node(node)
 
+    def restart_crashed(self):
+        """Starts backend servers again that a poison request ended, as a platform does."""
+        while not self.over.wait(0.3):
+            for node in self.fleet.nodes:
+                with self.busy[node.name]:
+                    if not node.server.alive():
+                        self.start_server(node)
+
     def race_sheets(self):
         """Two operators submit on one base; the settings tell the sheets apart."""
         random = Random(time.monotonic_ns())
@@ -212,6 +220,7 @@
         threads = [threading.Thread(target=self.send_calls, args=(number,))
                    for number in range(CALLERS)]
         threads.append(threading.Thread(target=self.sample_sheets))
+        threads.append(threading.Thread(target=self.restart_crashed))
         for thread in threads:
             thread.start()
         start = time.monotonic()
--- a/testsuite/records.py
+++ b/testsuite/records.py
@@ -129,8 +129,8 @@
             self.wait_claims(node)
 
     def start_server(self, node, *options):
-        options = options or ("--service-ms", 2)
-        node.start_server("--service", "push", "--slots", 20, "--record",
+        options = options or ("--service-ms", 2, "--slots", 20)
+        node.start_server("--service", "push", "--record",
                           os.path.join(self.folder, node.name + ".record"), *options)
 
     def start_node(self, node):
