--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,9 @@
 test: build
 	@scripts/run_tests.sh $(BUILD)
 
+demo: build
+	@python3 scripts/demo.py --build $(BUILD)
+
 check-spec:
 	@spec/run.sh $(BUILD)
 
@@ -29,6 +32,9 @@
 lint: build
 	@scripts/run_linter.sh $(BUILD)
 
+bench: build
+	@python3 scripts/bench $(BUILD) $(if $(QUICK),--quick)
+
 clean:
 	@rm -rf $(BUILD)
 
--- a/src/include/fescueridge/base/settings.hpp
+++ b/src/include/fescueridge/base/settings.hpp
@@ -6,6 +6,7 @@
 
 #include "fescueridge/base/clock.hpp"
 #include "fescueridge/base/endpoint.hpp"
+#include "fescueridge/base/experiment.hpp"
 #include "fescueridge/base/types.hpp"
 
 namespace fescueridge
@@ -22,6 +23,8 @@
     endpoint listen_link;     ///< Links from other nodes.
     endpoint listen_operator; ///< Operators' HTTP and server announcements.
     endpoint listen_gossip;   ///< UDP.
+    endpoint advertised_link; ///< Told to other nodes; differs behind address translation.
+    endpoint advertised_gossip;
     std::vector<endpoint> contacts; ///< Gossip addresses of a few other nodes.
     std::optional<endpoint> log_service;
     /// Time for which the log service keeps records; state is carried forward after half
@@ -29,6 +32,7 @@
     milliseconds log_retention{std::chrono::hours{24}};
     unsigned threads = 2;
     milliseconds drain_timeout{30'000};
+    control_policy control; ///< For benchmarks only: baselines to compare with.
 };
 
 /// Reads and checks a settings file in JSON with comments. Throws settings_error that
--- a/src/include/fescueridge/node/operator_port.hpp
+++ b/src/include/fescueridge/node/operator_port.hpp
@@ -25,7 +25,7 @@
     std::function<drain_result()> drain;
     std::function<void(const server_announcement&)> announce;
     std::function<std::string()> metrics;
-    const event_log* events = nullptr;
+    event_log* events = nullptr;
 };
 
 /// HTTP port for operators and for announcements of the backend server. Few connections,
@@ -33,12 +33,16 @@
 class operator_port
 {
 public:
-    /// Listens and starts to serve. Throws address_error when the address is in use.
+    /// Listens; connections wait until start(). Throws address_error when the address is
+    /// in use.
     operator_port(const endpoint& listen, operator_functions functions);
     ~operator_port();
     operator_port(const operator_port&) = delete;
     operator_port& operator=(const operator_port&) = delete;
 
+    /// Starts to serve. The functions must work from now on.
+    void start();
+
     void stop();
 
 private:
--- a/src/node/operator_port.cpp
+++ b/src/node/operator_port.cpp
@@ -15,7 +15,7 @@
 
 using json = nlohmann::json;
 
-// Each kept-alive connection holds a thread: some tools, and one backend server.
+// Requests at a time: of some tools and one backend server.
 constexpr std::size_t worker_threads = 8;
 
 std::string text_member(const json& body, const char* name)
@@ -63,6 +63,22 @@
     throw codec_error(fmt::format("member \"state\" has no state \"{}\"", text));
 }
 
+// Ids stand in every copy of the log record and in the results that nodes keep.
+constexpr std::size_t max_submit_text_bytes = 200;
+
+submit_request parse_submit(const std::string& text)
+{
+    auto request = parse_body<submit_request>(text);
+    if (request.submit_id.size() > max_submit_text_bytes ||
+        request.author.size() > max_submit_text_bytes)
+    {
+        throw codec_error(
+            fmt::format("members \"author\" and \"submit_id\" have at most {} bytes",
+                        max_submit_text_bytes));
+    }
+    return request;
+}
+
 void respond_json(httplib::Response& response, const std::string& body, int status = 200)
 {
     response.status = status;
@@ -126,19 +142,29 @@
             });
         server_.set_payload_max_length(max_sheet_bytes + 65'536);
         server_.set_tcp_nodelay(true);
+        // A connection that is kept open would hold a thread, and stop() would wait up to
+        // 5 s for it. One without a request is given up after a second.
+        server_.set_keep_alive_max_count(1);
+        server_.set_keep_alive_timeout(1);
         add_sheet_routes();
         add_view_routes();
         add_command_routes();
         if (!server_.bind_to_port(listen.address, listen.port))
         {
             throw address_error(
-                fmt::format("cannot listen on {} (operator port)", to_string(listen)));
+                fmt::format("cannot listen on {}: the address is in use, or not one of "
+                            "this machine",
+                            to_string(listen)));
         }
-        thread_ = std::thread([this] { server_.listen_after_bind(); });
     }
 
     ~impl() { stop(); }
 
+    void start()
+    {
+        thread_ = std::thread([this] { server_.listen_after_bind(); });
+    }
+
     void stop()
     {
         if (thread_.joinable())
@@ -157,6 +183,13 @@
     using request = httplib::Request;
     using response = httplib::Response;
 
+    /// Answers a malformed body; nothing was done.
+    void refuse(const request& in, response& out, const std::string& text)
+    {
+        functions_.events->record("bad_request", {{"path", in.path}, {"text", text}});
+        respond_error(out, text, 400);
+    }
+
     void add_sheet_routes()
     {
         server_.Post(
@@ -177,12 +210,12 @@
                      {
                          try
                          {
-                             const auto submit = parse_body<submit_request>(in.body);
+                             const submit_request submit = parse_submit(in.body);
                              respond_json(out, to_body(functions_.submit(submit)));
                          }
                          catch (const codec_error& problem)
                          {
-                             respond_error(out, problem.what(), 400);
+                             refuse(in, out, problem.what());
                          }
                      });
         server_.Get("/v1/sheet", [this](const request&, response& out)
@@ -245,7 +278,7 @@
                          }
                          catch (const codec_error& problem)
                          {
-                             respond_error(out, problem.what(), 400);
+                             refuse(in, out, problem.what());
                          }
                      });
     }
@@ -262,6 +295,11 @@
 
 operator_port::~operator_port() = default;
 
+void operator_port::start()
+{
+    impl_->start();
+}
+
 void operator_port::stop()
 {
     impl_->stop();
--- a/src/transport/link_hub.cpp
+++ b/src/transport/link_hub.cpp
@@ -55,6 +55,8 @@
     if (ec)
         throw address_error("cannot listen on " + to_string(where) + ": " + ec.message());
     bound_ = from_asio(acceptor_.local_endpoint());
+    // The peers' side sees the address that this node listens on.
+    client_.set_source(target.address());
 }
 
 // The accept loop of websocketpp is not used: it touches its acceptor without a lock, so
@@ -191,10 +193,14 @@
 link_ptr link_hub_impl::find(const node_id& node) const
 {
     const std::lock_guard lock(mutex_);
+    link_ptr best;
     for (const auto& link : links_)
-        if (link->is_open() && link->peer().node == node)
-            return link;
-    return nullptr;
+    {
+        const bool candidate = link->is_open() && link->peer().node == node;
+        if (candidate && (!best || best->peer().number < link->peer().number))
+            best = link;
+    }
+    return best;
 }
 
 std::vector<link_ptr> link_hub_impl::links() const
--- a/src/transport/link_impl.cpp
+++ b/src/transport/link_impl.cpp
@@ -145,8 +145,12 @@
     const auto local = connection_->get_local_close_code();
     if (local == status::message_too_big)
         return end(fault(link_fault_kind::frame_too_large, detail));
-    if (local == status::protocol_error || local == status::invalid_payload)
-        return end(fault(link_fault_kind::bad_frame, detail));
+    // The library's code for a length that is not encoded in the least bytes.
+    const bool bad_length = local == status::internal_endpoint_error;
+    if (local == status::protocol_error || local == status::invalid_payload || bad_length)
+        return end(
+            fault(link_fault_kind::bad_frame,
+                  detail.empty() ? connection_->get_local_close_reason() : detail));
     if (connection_->get_remote_close_code() == status::abnormal_close)
         return end(fault(link_fault_kind::cut, detail));
     end({});
