--- a/testsuite/chain.py
+++ b/testsuite/chain.py
@@ -99,18 +99,13 @@
             options += ["--downstream", "s%d" % (node.level + 1)]
         else:
             options += list(self.deep_options)
-            if self.record:
-                options += ["--record", self.record_file(node)]
-        node.start_server(*options)
-
-    def record_file(self, node):
-        return os.path.join(self.fleet.folder, node.name + ".records")
+        node.start_server(*options, record=deep and self.record)
 
     def records(self):
         """Returns what the deepest servers recorded since the previous use."""
         result = []
         for node in self.deepest:
-            with open(self.record_file(node)) as lines:
+            with open(node.record_file) as lines:
                 lines.seek(self.read_to.get(node.name, 0))
                 text = lines.read()
                 whole = text.rfind("\n") + 1
--- a/testsuite/fleet.py
+++ b/testsuite/fleet.py
@@ -162,7 +162,7 @@
         self.server = None
         self.server_port = free_port()
         self.server_options = []
-        self.record_file = os.path.join(fleet.folder, "record-%s" % name)
+        self.record_file = os.path.join(fleet.folder, name + ".record")
 
     def start(self, contacts, log_port=None, overrides=None):
         settings = {
@@ -200,16 +200,17 @@
         self.start(self.fleet.contacts(), self.fleet.log_port_of(self.domain),
                    overrides or self.fleet.overrides)
 
-    def start_server(self, *options):
+    def start_server(self, *options, record=True):
         """Starts the backend server of this node with the options of its stand-in."""
         if options:
             self.server_options = [str(option) for option in options]
+        recording = ["--record", self.record_file] if record else []
         self.server = self.fleet.run(
             "server-" + self.name, "fescue_standin_server",
             "--listen", "127.0.0.1:%d" % self.server_port,
             "--node-operator", "127.0.0.1:%d" % self.operator,
             "--node-server", "127.0.0.1:%d" % self.server_side,
-            "--record", self.record_file, *self.server_options)
+            *recording, *self.server_options)
 
     def executions(self):
         """Returns the execution record of the backend server, oldest first. Its time_ms
--- a/testsuite/not_run/not_run.py
+++ b/testsuite/not_run/not_run.py
@@ -23,8 +23,7 @@
 
 def start_server(fleet, node):
     service = node.name.split("-")[1]
-    options = ["--service", service, "--record",
-               os.path.join(fleet.folder, node.name + ".record")]
+    options = ["--service", service]
     if service == "front":
         options += ["--slots", 12, "--service-ms", 3, "--downstream", "deep"]
     else:
--- a/testsuite/records.py
+++ b/testsuite/records.py
@@ -130,8 +130,7 @@
 
     def start_server(self, node, *options):
         options = options or ("--service-ms", 2, "--slots", 20)
-        node.start_server("--service", "push", "--record",
-                          os.path.join(self.folder, node.name + ".record"), *options)
+        node.start_server("--service", "push", *options)
 
     def start_node(self, node):
         node.start(self.contacts(), self.log_port, self.overrides)
