Use the execution records of the shared fleet

The stand-in refuses the repeated option, so no backend server started and every case failed. Ruled out: faults of the nodes; the servers had ended at once. Change: the tests read the files record-<node> of the fleet. No check changed.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -62,8 +62,7 @@
     def start_server(self, node):
         service = node.name.split("-")[1]
         options = ["--service", service, "--slots", 8, "--service-ms", 4,
-                   "--service-dist", "exp", "--poison", POISON, "--record",
-                   os.path.join(self.fleet.folder, node.name + ".record")]
+                   "--service-dist", "exp", "--poison", POISON]
         node.start_server(*options, *(["--downstream", "push"] if service == "front" else []))
 
     def start_node(self, node):
--- a/testsuite/not_run/not_run.py
+++ b/testsuite/not_run/not_run.py
@@ -21,10 +21,9 @@
 SECONDS = 14
 
 
-def start_server(fleet, node):
+def start_server(node):
     service = node.name.split("-")[1]
-    options = ["--service", service, "--record",
-               os.path.join(fleet.folder, node.name + ".record")]
+    options = ["--service", service]
     if service == "front":
         options += ["--slots", 12, "--service-ms", 3, "--downstream", "deep"]
     else:
@@ -59,7 +58,7 @@
             process.send(signal.SIGCONT)
         elif fault == "kill server":
             node.server.kill()
-            start_server(fleet, node)
+            start_server(node)
         else:
             node.process.kill()
             node.start(fleet.contacts(), fleet.log_port)
@@ -78,7 +77,7 @@
         assert answer["status"] == "accepted", answer
         fleet.wait_ready()
         for node in fleet.nodes[:4]:
-            start_server(fleet, node)
+            start_server(node)
         fleet.wait_servers()
         over = threading.Event()
         threads = [threading.Thread(target=send_calls,
--- a/testsuite/records.py
+++ b/testsuite/records.py
@@ -70,7 +70,7 @@
     """Returns the started executions that all backend servers of a fleet recorded."""
     result = []
     for name in sorted(os.listdir(folder)):
-        if name.endswith(".record"):
+        if name.startswith("record-"):
             with open(os.path.join(folder, name)) as lines:
                 for line in lines:
                     if line.endswith("\n"):  # a killed server may leave half a line
@@ -130,8 +130,7 @@
 
     def start_server(self, node, *options):
         options = options or ("--service-ms", 2, "--slots", 20)
-        node.start_server("--service", "push", "--record",
-                          os.path.join(self.folder, node.name + ".record"), *options)
+        node.start_server("--service", "push", *options)
 
     def start_node(self, node):
         node.start(self.contacts(), self.log_port, self.overrides)
