--- a/testsuite/records.py
+++ b/testsuite/records.py
@@ -70,7 +70,7 @@
     """Returns the started executions that all backend servers of a fleet recorded."""
     result = []
     for name in sorted(os.listdir(folder)):
-        if name.endswith(".record"):
+        if name.startswith("record-"):
             with open(os.path.join(folder, name)) as lines:
                 for line in lines:
                     if line.endswith("\n"):  # a killed server may leave half a line
