Answer unknown when a hedge starts while a call ends; drop forged headers

Cause: a call could end as not run between the check for open attempts and its end, while a hedge was just being sent; and a backend server's own Fescue headers went on to the caller, so an answer could carry two outcomes. Ruled out: holding the lock over the dispatch, since it calls other modules. Change: an open attempt makes the outcome unknown; Fescue headers of a backend server are not passed on. Conclusion: the outcome holds by construction.

--- a/src/node/call_ports.cpp
+++ b/src/node/call_ports.cpp
@@ -1,5 +1,6 @@
 #include "fescueridge/node/call_ports.hpp"
 
+#include <algorithm>
 #include <cctype>
 #include <charconv>
 #include <cstring>
@@ -13,6 +14,7 @@
 {
 
 constexpr std::string_view call_prefix = "/call/";
+constexpr std::string_view key_state_header = "Fescue-Key-State";
 constexpr milliseconds max_timeout{3'600'000};
 constexpr std::size_t max_name_bytes = 200;
 
@@ -129,6 +131,15 @@
     }
 }
 
+/// Returns true for headers that only nodes set, whatever their case.
+bool is_own_header(std::string_view name)
+{
+    std::string lower(name);
+    std::transform(lower.begin(), lower.end(), lower.begin(),
+                   [](unsigned char letter) { return std::tolower(letter); });
+    return lower.compare(0, 7, "fescue-") == 0 || lower == "idempotency-key";
+}
+
 /// Returns the headers that go on to the backend server: without those of one connection
 /// and those that the nodes set themselves.
 std::vector<header_field> forwarded_headers(const std::vector<header_field>& headers)
@@ -136,10 +147,7 @@
     std::vector<header_field> result;
     for (const header_field& header : headers)
     {
-        const bool ours =
-            header.name.size() > 7 && (header.name.compare(0, 7, "Fescue-") == 0 ||
-                                       header.name.compare(0, 7, "fescue-") == 0);
-        if (!ours && !is_hop_header(header.name) && header.name != "Idempotency-Key")
+        if (!is_own_header(header.name) && !is_hop_header(header.name))
         {
             result.push_back(header);
         }
@@ -158,7 +166,10 @@
     response.status = reply.status;
     for (const header_field& header : reply.headers)
     {
-        if (!is_hop_header(header.name))
+        // A backend server must not answer in the name of the nodes; the state of a key
+        // is set by the node that ran the call.
+        const bool forged = is_own_header(header.name) && header.name != key_state_header;
+        if (!forged && !is_hop_header(header.name))
         {
             response.headers.push_back(header);
         }
--- a/src/node/outbound_call.cpp
+++ b/src/node/outbound_call.cpp
@@ -359,8 +359,10 @@
             return;
         }
         done.swap(done_);
-        // An earlier attempt may have run, so the call as a whole may have run.
-        if (may_have_run_ && reply.result == outcome::not_run)
+        // An earlier attempt may have run, and one that a hedge has just started may run
+        // yet; then the call as a whole may have run.
+        const bool in_doubt = may_have_run_ || !attempts_.empty();
+        if (in_doubt && reply.result == outcome::not_run)
         {
             reply.result = outcome::unknown;
         }
