Believe a server's not-run header only if it made no downstream call

Cause: a backend server that passes on the header of a refused downstream call would have told its caller that it did not run itself. Read from the code. Ruled out: ignoring the header, since servers that shed load may say so.

--- a/scripts/capacity_model.py
+++ b/scripts/capacity_model.py
@@ -160,14 +160,15 @@
 def traffic_rows(size, lines, slopes, d):
     frames = slopes["frames"]
     header = 6  # websocket header with mask, as the dialling side sends it
-    # Both sides send a ping every 500 ms and answer the other's with a pong.
-    link_bytes = 2 * d["links"] * (frames["ping"] + frames["pong"] + 2 * header)
+    # On an idle link one side sends a ping every 500 ms and the other answers; a node sends
+    # either frame on half of its links. A busy link needs no ping.
+    link_bytes = d["links"] * (frames["ping"] + frames["pong"] + 2 * header)
     rows = size["limited_rows_seen_by_a_node"]
     return [
         Row("passing on: links", "nodes of the services called", "encoded frames", 1.0,
-            "one link per pair of nodes that call each other, ping every 500 ms",
+            "one link per pair of nodes that call each other, ping after 500 ms of silence",
             sent=link_bytes,
-            change="no ping on a link that received something in the last 500 ms"),
+            change="ping less often on a link without calls in flight"),
         Row("load exchange", "calls x services below", "encoded frames; pressure table of "
             "10 to 350 services", 1.0, "levels on each reply",
             core=d["roots"] * _last(slopes["pressure"], "decide_s"),
--- a/src/node/executor_run.cpp
+++ b/src/node/executor_run.cpp
@@ -141,7 +141,9 @@
 void executor_core::on_response(const job_ptr& work, http_response response)
 {
     const std::string* declared = find_header(response.headers, "Fescue-Outcome");
-    const bool shed = declared != nullptr && *declared == "not_run";
+    // A server that made downstream calls did run, and may only pass on their header.
+    const bool made_calls = work->context->downstream.total().count() > 0;
+    const bool shed = declared != nullptr && *declared == "not_run" && !made_calls;
     const bool success = response.status < 500;
     leave_queue(work, success);
     const auto changed = ports_.suspicions.on_completed(work->request);
