Bound the memory that a hostile sheet takes

Cause: a sheet of 8 MiB could make the reader keep millions of cells and the check report more than a million faults, over the 128 MB of a node. Change: 20,000 rows instead of 50,000, one fault for cells beyond the table, and the check stops after 10,000 faults with a fault that says so. A test names the sentences of eight refusal reasons. Ruled out: reading rows through a callback; the bound holds without it.

--- a/src/include/fescueridge/sheet/csv.hpp
+++ b/src/include/fescueridge/sheet/csv.hpp
@@ -21,7 +21,7 @@
 /// text of separators or line ends alone can take; the design size is thousands of rules
 /// with nine cells each.
 constexpr std::size_t max_csv_cells = 64;
-constexpr std::size_t max_csv_rows = 50'000;
+constexpr std::size_t max_csv_rows = 20'000;
 
 /// What is wrong with the form of a table.
 enum class csv_fault_kind : std::uint8_t
--- a/src/include/fescueridge/sheet/sheet.hpp
+++ b/src/include/fescueridge/sheet/sheet.hpp
@@ -23,6 +23,9 @@
 /// HTTP header.
 constexpr std::size_t max_cell_bytes = 200;
 
+/// Number of faults after which the check of a sheet stops, which bounds its memory.
+constexpr std::size_t max_sheet_faults = 10'000;
+
 /// The caller of a default rule.
 constexpr std::string_view any_caller = "*";
 
@@ -87,7 +90,8 @@
     bad_setting,       ///< A setting has a value that it cannot have.
     duplicate_setting, ///< A setting occurs twice.
     duplicate_rule,    ///< Two rules have the same caller, service and path.
-    no_default_rule    ///< A service has no rule for caller "*" without a path.
+    no_default_rule,   ///< A service has no rule for caller "*" without a path.
+    too_many_faults    ///< Over max_sheet_faults; the rest was not checked.
 };
 
 /// Returns the protocol name of a reason, for example "duplicate_rule".
--- a/src/sheet/explain_test.cpp
+++ b/src/sheet/explain_test.cpp
@@ -99,6 +99,26 @@
     cr_expect(!mentions(text, "did not run"));
 }
 
+// Guards against a reason that is explained with the sentences of another one.
+Test(explain, each_reason_has_its_own_sentences)
+{
+    const std::vector<std::pair<refusal_reason, const char*>> parts{
+        {refusal_reason::limit, "fewer calls per second"},
+        {refusal_reason::no_rule, "no rule for this service"},
+        {refusal_reason::key_in_use, "same idempotency key came first"},
+        {refusal_reason::key_missing, "again with an idempotency key"},
+        {refusal_reason::quarantined, "must not send this request again"},
+        {refusal_reason::deadline, "longer timeout"},
+        {refusal_reason::too_large, "was too large"},
+        {refusal_reason::shutting_down, "node was being shut down"}};
+    refusal_record record = sample_record();
+    for (const auto& [reason, part] : parts)
+    {
+        record.reason = reason;
+        cr_expect(mentions(explain(record), part), "lacks: %s", part);
+    }
+}
+
 // Guards against control characters from a caller's name that reach a terminal.
 Test(explain, names_are_printable)
 {
--- a/src/sheet/sheet.cpp
+++ b/src/sheet/sheet.cpp
@@ -14,13 +14,13 @@
 {
 
 // In the order of fault_reason.
-constexpr std::array<std::string_view, 22> fault_names{
+constexpr std::array<std::string_view, 23> fault_names{
     "too_large",      "empty_sheet",     "bad_quotes",       "bad_text",
     "missing_column", "unknown_column",  "duplicate_column", "extra_cell",
     "unknown_kind",   "missing_value",   "unexpected_value", "bad_name",
     "bad_number",     "out_of_range",    "bad_flag",         "bad_path",
     "too_long",       "unknown_setting", "bad_setting",      "duplicate_setting",
-    "duplicate_rule", "no_default_rule"};
+    "duplicate_rule", "no_default_rule", "too_many_faults"};
 
 bool starts_with_path(std::string_view path, std::string_view prefix) noexcept
 {
--- a/src/sheet/sheet_parser.cpp
+++ b/src/sheet/sheet_parser.cpp
@@ -44,9 +44,7 @@
         }
         else if (read_header(table.rows.front()))
         {
-            std::for_each(table.rows.begin() + 1, table.rows.end(),
-                          [this](const csv_row& row) { read_row(row); });
-            check_default_rules();
+            read_rows(table);
         }
         add_form_faults(table);
         return finish();
@@ -59,6 +57,24 @@
         faults_.push_back({row, std::string(column), reason, std::move(text)});
     }
 
+    bool has_too_many_faults() const { return faults_.size() >= max_sheet_faults; }
+
+    void read_rows(const csv_table& table)
+    {
+        for (std::size_t i = 1; i < table.rows.size(); ++i)
+        {
+            if (has_too_many_faults())
+            {
+                add(table.rows[i].number, "", fault_reason::too_many_faults,
+                    "there are too many faults; this row and the ones after it were not "
+                    "checked");
+                return;
+            }
+            read_row(table.rows[i]);
+        }
+        check_default_rules();
+    }
+
     sheet_or_faults finish()
     {
         if (faults_.empty() && rules_.empty())
@@ -155,6 +171,7 @@
             {
                 add(cells_.row(), fmt::format("cell {}", i + 1), fault_reason::extra_cell,
                     "the cell has text but its column has no name");
+                return; // One fault says enough about cells beyond the table.
             }
         }
     }
@@ -296,6 +313,10 @@
     {
         for (const csv_fault& fault : table.faults)
         {
+            if (has_too_many_faults())
+            {
+                return;
+            }
             add_form_fault(fault);
         }
     }
--- a/src/sheet/sheet_test.cpp
+++ b/src/sheet/sheet_test.cpp
@@ -204,6 +204,20 @@
     expect_text(shown(faults_of(std::string(max_sheet_bytes + 1, 'x'))), "0::too_large ");
 }
 
+// Guards against a list of faults that takes more memory than a node has.
+Test(sheet, number_of_faults_is_bounded)
+{
+    std::string rows;
+    for (std::size_t i = 0; i < max_csv_rows - 1; ++i)
+    {
+        rows += "rul,\xff,,,,,,,\n";
+    }
+    const auto faults = faults_of(header + rows);
+    cr_expect_leq(faults.size(), max_sheet_faults + 10);
+    cr_expect_eq(faults.back().reason, fault_reason::too_many_faults);
+    cr_expect_eq(parse_fault_reason("too_many_faults"), fault_reason::too_many_faults);
+}
+
 // Guards against differences that are missed, and against moved rows shown as changed.
 Test(sheet, differences_between_sheets)
 {
