--- a/src/node/node_links.cpp
+++ b/src/node/node_links.cpp
@@ -1,5 +1,3 @@
-// Messages between this node and the others.
-
 #include "node_impl.hpp"
 
 namespace fescueridge
--- a/src/node/node_operator.cpp
+++ b/src/node/node_operator.cpp
@@ -1,5 +1,3 @@
-// Answers of the operator port.
-
 #include <map>
 #include <nlohmann/json.hpp>
 #include <tuple>
