Share the checks on runs of the tool between two cases

Cause: tool_offline and tool_operator_port each had the same functions expect and expect_json. Ruled out: sharing expect_output and expect_text too, since one case each uses them. Change: both functions move unchanged to testsuite/tool_expect.sh. Conclusion: one copy serves both.

--- a/testsuite/tool_offline/run.sh
+++ b/testsuite/tool_offline/run.sh
@@ -9,18 +9,7 @@
 trap 'rm -rf "$work"' EXIT
 failures=0
 
-# expect CODE ARGUMENT...: runs the tool and compares its exit code.
-expect() {
-    local expected=$1 status
-    shift
-    "$tool" "$@" >"$work/out" 2>"$work/err"
-    status=$?
-    if [ "$status" -ne "$expected" ]; then
-        echo "exit code $status instead of $expected: fescueridge $*"
-        cat "$work/out" "$work/err"
-        failures=$((failures + 1))
-    fi
-}
+source ../tool_expect.sh
 
 # expect_output FILE: compares what the last run printed.
 expect_output() {
@@ -30,15 +19,6 @@
     fi
 }
 
-# expect_json EXPRESSION: evaluates it over the JSON that the last run printed.
-expect_json() {
-    if ! python3 -c "import json,sys; d=json.load(sys.stdin); sys.exit(not ($1))" <"$work/out"; then
-        echo "JSON does not satisfy: $1"
-        cat "$work/out"
-        failures=$((failures + 1))
-    fi
-}
-
 # expect_error TEXT: looks for a text on standard error and none on standard output.
 expect_error() {
     if ! grep -q -- "$1" "$work/err" || [ -s "$work/out" ]; then
--- a/testsuite/tool_operator_port/run.sh
+++ b/testsuite/tool_operator_port/run.sh
@@ -19,18 +19,7 @@
 
 port_of() { awk -v node="$1" '$1 == node { print "127.0.0.1:" $2 }' "$work/ports"; }
 
-# expect CODE ARGUMENT...: runs the tool and compares its exit code.
-expect() {
-    local expected=$1 status
-    shift
-    "$tool" "$@" >"$work/out" 2>"$work/err"
-    status=$?
-    if [ "$status" -ne "$expected" ]; then
-        echo "exit code $status instead of $expected: fescueridge $*"
-        cat "$work/out" "$work/err"
-        failures=$((failures + 1))
-    fi
-}
+source ../tool_expect.sh
 
 # expect_text FILE TEXT: looks for a text in what the last run printed (out or err).
 expect_text() {
@@ -41,15 +30,6 @@
     fi
 }
 
-# expect_json EXPRESSION: evaluates it over the JSON that the last run printed.
-expect_json() {
-    if ! python3 -c "import json,sys; d=json.load(sys.stdin); sys.exit(not ($1))" <"$work/out"; then
-        echo "JSON does not satisfy: $1"
-        cat "$work/out"
-        failures=$((failures + 1))
-    fi
-}
-
 a1=$(port_of a1)
 b1=$(port_of b1)
 
