--- a/src/base/base_test.cpp
+++ b/src/base/base_test.cpp
@@ -1,4 +1,6 @@
 #include <criterion/criterion.h>
+#include <thread>
+#include <vector>
 
 #include "fescueridge/base/endpoint.hpp"
 #include "fescueridge/base/error.hpp"
@@ -138,3 +140,33 @@
     cr_assert(log.since(0).front().lamport == 41);
     cr_assert(log.since(1).empty());
 }
+
+// Guards against events of several threads whose Lamport stamps and sequences disagree, so
+// that the merged time line shows one process out of order.
+Test(base_events, stamps_follow_the_sequence_of_a_process)
+{
+    event_log log(node_id("a1"), incarnation(1));
+    log.echo(false);
+    std::vector<std::thread> threads;
+    for (int i = 0; i < 4; ++i)
+    {
+        threads.emplace_back(
+            [&log]
+            {
+                for (int n = 0; n < 1000; ++n)
+                {
+                    log.record("sheet_accepted");
+                }
+            });
+    }
+    for (std::thread& thread : threads)
+    {
+        thread.join();
+    }
+    std::uint64_t last = 0;
+    for (const event& entry : log.since(0))
+    {
+        cr_assert(entry.lamport > last, "event %lu", entry.sequence);
+        last = entry.lamport;
+    }
+}
--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -39,10 +39,12 @@
     entry.incarnation = incarnation_;
     entry.name = std::move(name);
     entry.fields = std::move(fields);
-    entry.lamport = stamp();
     std::string line;
     {
         const std::lock_guard lock(mutex_);
+        // Both numbers are taken under the lock: a thread that waited for it with an older
+        // stamp would get a later sequence, and the time line would show its event first.
+        entry.lamport = stamp();
         entry.sequence = ++sequence_;
         if (echo_)
         {
