Bound the time of a request's transfer and of large answers

Cause: a peer that stopped in the middle of a request, or never read its answer, held its connection and up to 16 MiB for ever; found by reading. Ruled out: a timer for every request, since a request that comes in one piece needs none; a bound on idle kept-alive connections, which callers keep on purpose. Change: 30 s from the first byte of a request that did not come whole at once (408, event http_fault with kind timed_out), and for answers over 64 KiB; one timer serves both and the lingering. Conclusion: a slow peer costs a connection for 30 s at most.

--- a/src/base/base_test.cpp
+++ b/src/base/base_test.cpp
@@ -141,8 +141,8 @@
     cr_assert(log.since(1).empty());
 }
 
-// Guards against events of several threads whose Lamport stamps and sequences disagree, so
-// that the merged time line shows one process out of order.
+// Guards against events of several threads whose Lamport stamps and sequences disagree,
+// so that the merged time line shows one process out of order.
 Test(base_events, stamps_follow_the_sequence_of_a_process)
 {
     event_log log(node_id("a1"), incarnation(1));
--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -42,8 +42,9 @@
     std::string line;
     {
         const std::lock_guard lock(mutex_);
-        // Both numbers are taken under the lock: a thread that waited for it with an older
-        // stamp would get a later sequence, and the time line would show its event first.
+        // Both numbers are taken under the lock: a thread that waited for it with an
+        // older stamp would get a later sequence, and the time line would show its event
+        // first.
         entry.lamport = stamp();
         entry.sequence = ++sequence_;
         if (echo_)
--- a/src/include/fescueridge/transport/http_server.hpp
+++ b/src/include/fescueridge/transport/http_server.hpp
@@ -28,7 +28,8 @@
     malformed,        ///< Not HTTP/1.x; answered 400.
     body_too_large,   ///< Body over the limit; answered 413.
     header_too_large, ///< Header block over the limit; answered 431.
-    cut               ///< The peer closed in the middle of a request.
+    cut,              ///< The peer closed in the middle of a request.
+    timed_out         ///< The rest of a request did not come in time; answered 408.
 };
 
 /// Returns the stable name of a kind, for events.
@@ -68,6 +69,11 @@
 {
     std::size_t max_body = max_body_bytes;
 
+    /// Longest time from the first byte of a request to its last one, and for sending an
+    /// answer. Without it a peer that stops in the middle holds its connection and up to
+    /// max_body bytes for ever.
+    milliseconds transfer_timeout{30'000};
+
     /// Called on an io thread for each fault; may be empty.
     std::function<void(const http_fault&)> on_fault;
 };
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -63,6 +63,8 @@
         return "header_too_large";
     case http_fault_kind::cut:
         return "cut";
+    case http_fault_kind::timed_out:
+        return "timed_out";
     }
     return "malformed";
 }
--- a/src/transport/http_server_test.cpp
+++ b/src/transport/http_server_test.cpp
@@ -29,11 +29,14 @@
 
     http_server_options options(std::size_t max_body = max_body_bytes)
     {
-        return {max_body, [this](const http_fault& fault)
-                {
-                    last = fault.kind;
-                    ++count;
-                }};
+        http_server_options result;
+        result.max_body = max_body;
+        result.on_fault = [this](const http_fault& fault)
+        {
+            last = fault.kind;
+            ++count;
+        };
+        return result;
     }
 };
 
@@ -214,3 +217,41 @@
     peer.send("hi");
     cr_expect_neq(peer.read_all().find("\r\n\r\nhi"), std::string::npos);
 }
+
+// Guards against peers that stop in the middle of a request and hold their connections
+// and buffers for ever.
+Test(http_server, answers_408_when_the_rest_of_a_request_does_not_come)
+{
+    fault_counter faults;
+    http_server_options options = faults.options();
+    options.transfer_timeout = milliseconds(50);
+    io_threads threads;
+    http_server server(threads.io, any_port, echo, options);
+    raw_peer idle(server.bound());
+    raw_peer peer(server.bound());
+    peer.send("POST /1 HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc");
+    cr_expect_neq(peer.read_all().find("HTTP/1.1 408"), std::string::npos);
+    cr_expect(eventually([&] { return faults.count == 1; }));
+    cr_expect(faults.last == http_fault_kind::timed_out);
+    idle.send("GET /2 HTTP/1.1\r\nConnection: close\r\n\r\n");
+    cr_expect_neq(idle.read_all().find("200 OK"), std::string::npos,
+                  "a connection without a request may stay idle");
+}
+
+// Guards against peers that never read their answer.
+Test(http_server, closes_a_connection_whose_answer_is_not_read)
+{
+    http_server_options options;
+    options.transfer_timeout = milliseconds(50);
+    io_threads threads;
+    http_server server(
+        threads.io, any_port,
+        [](const http_request&, const auto& exchange) {
+            exchange->respond({200, {}, std::string(16'000'000, 'x')});
+        },
+        options);
+    raw_peer peer(server.bound());
+    peer.send("GET /1 HTTP/1.1\r\n\r\n");
+    cr_assert(eventually([&] { return server.peak_connections() == 1; }));
+    cr_expect(eventually([&] { return server.open_connections() == 0; }));
+}
--- a/src/transport/server_connection.cpp
+++ b/src/transport/server_connection.cpp
@@ -11,6 +11,10 @@
 /// the connection before the peer has read the answer.
 constexpr milliseconds linger_time{1000};
 
+/// An answer up to this size fits into the send buffer of a socket, so only larger ones
+/// can wait for the peer and need a timer.
+constexpr std::size_t untimed_answer = std::size_t{64} * 1024;
+
 http_fault_kind fault_of(parse_status status)
 {
     switch (status)
@@ -32,6 +36,8 @@
         return 431;
     case http_fault_kind::body_too_large:
         return 413;
+    case http_fault_kind::timed_out:
+        return 408;
     default:
         return 400;
     }
@@ -82,7 +88,9 @@
         return hand_over();
     }
     if (status != parse_status::need_more)
-        return refuse(status);
+        return refuse(fault_of(status), parser_.problem());
+    if (parser_.started() && !timing_)
+        start_timer(server_->transfer_timeout());
     if (parser_.take_expects_continue())
         send_continue();
     read();
@@ -97,6 +105,7 @@
 
 void server_connection::hand_over()
 {
+    stop_timer();
     waiting_ = true;
     counted_ = true;
     ++server_->exchanges_;
@@ -110,12 +119,11 @@
         server_->request(std::move(request), std::move(exchange));
 }
 
-void server_connection::refuse(parse_status status)
+void server_connection::refuse(http_fault_kind kind, const std::string& problem)
 {
-    const auto kind = fault_of(status);
-    server_->report({kind, peer_, parser_.problem()});
+    server_->report({kind, peer_, problem});
     waiting_ = true;
-    write(plain_response(status_of(kind), parser_.problem()), false);
+    write(plain_response(status_of(kind), problem), false);
 }
 
 void server_connection::answer(const http_response& response)
@@ -131,6 +139,8 @@
     keep_alive_ = keep_alive;
     writing_ = true;
     out_ = write_response(response, keep_alive, !head_request_);
+    if (out_.size() > untimed_answer)
+        start_timer(server_->transfer_timeout());
     asio::async_write(socket_, asio::buffer(out_),
                       [self = shared_from_this()](asio::error_code ec, std::size_t)
                       { self->on_written(ec); });
@@ -139,6 +149,7 @@
 void server_connection::on_written(asio::error_code ec)
 {
     writing_ = false;
+    stop_timer();
     out_.clear();
     out_.shrink_to_fit();
     end_exchange();
@@ -174,6 +185,36 @@
         exchange->peer_closed();
 }
 
+void server_connection::start_timer(milliseconds time)
+{
+    timing_ = true;
+    timer_.expires_after(time);
+    timer_.async_wait(
+        [self = shared_from_this()](asio::error_code ec)
+        {
+            if (!ec)
+                self->on_timer();
+        });
+}
+
+void server_connection::stop_timer()
+{
+    if (std::exchange(timing_, false))
+        timer_.cancel();
+}
+
+void server_connection::on_timer()
+{
+    // The timer may have run out just before it was stopped.
+    if (!std::exchange(timing_, false) || closed_)
+        return;
+    if (lingering_)
+        return shut();
+    if (writing_)
+        return lost();
+    refuse(http_fault_kind::timed_out, "the request did not come whole in time");
+}
+
 void server_connection::linger()
 {
     asio::error_code ec;
@@ -182,8 +223,7 @@
         return shut();
     lingering_ = true;
     ahead_.clear();
-    linger_.expires_after(linger_time);
-    linger_.async_wait([self = shared_from_this()](asio::error_code) { self->shut(); });
+    start_timer(linger_time);
     read();
 }
 
@@ -193,7 +233,7 @@
         return;
     asio::error_code ec;
     socket_.close(ec);
-    linger_.cancel();
+    stop_timer();
     if (!writing_)
         end_exchange();
     server_->remove(shared_from_this());
--- a/src/transport/server_connection.hpp
+++ b/src/transport/server_connection.hpp
@@ -50,6 +50,7 @@
     std::atomic<bool> closed_{false};
 
     std::size_t max_body() const { return options_.max_body; }
+    milliseconds transfer_timeout() const { return options_.transfer_timeout; }
 
 private:
     void open(const endpoint& listen);
@@ -72,7 +73,7 @@
 public:
     server_connection(std::shared_ptr<http_server_impl> server, strand_socket socket)
         : server_(std::move(server)), socket_(std::move(socket)),
-          linger_(socket_.get_executor()), parser_(HTTP_REQUEST, server_->max_body())
+          timer_(socket_.get_executor()), parser_(HTTP_REQUEST, server_->max_body())
     {
     }
 
@@ -87,17 +88,20 @@
     void process(const char* data, std::size_t size);
     void send_continue();
     void hand_over();
-    void refuse(parse_status status);
+    void refuse(http_fault_kind kind, const std::string& problem);
     void write(const http_response& response, bool keep_alive);
     void on_written(asio::error_code ec);
     void lost();
     void end_exchange();
+    void start_timer(milliseconds time);
+    void stop_timer();
+    void on_timer();
     void linger();
     void shut();
 
     std::shared_ptr<http_server_impl> server_;
     strand_socket socket_;
-    asio::steady_timer linger_;
+    asio::steady_timer timer_; // bounds the transfer of a message, or the lingering
     message_parser parser_;
     std::array<char, server_read_size> buffer_{};
     std::string ahead_;
@@ -111,6 +115,7 @@
     bool head_request_ = false;
     bool keep_alive_ = true;
     bool lingering_ = false;
+    bool timing_ = false;
     bool closed_ = false;
 };
 
