--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 TYPE ?= RelWithDebInfo
 
-.PHONY: all packages configure build test check-spec demo bench capacity soak format lint clean
+.PHONY: all packages configure build test check-spec demo bench capacity soak fuzz format lint clean
 
 all: build
 
@@ -47,3 +47,8 @@
 SEED ?= 1
 soak: build
 	@python3 scripts/soak.py $(BUILD) --seconds $(SECONDS) --seed $(SEED)
+
+# make fuzz INPUTS=1000000 SEED=3: mutated input for every reader of messages and files
+INPUTS ?= 100000
+fuzz: build
+	@testsuite/malformed_input/run.sh $(BUILD) $(SEED) $(INPUTS)
--- a/src/base/base_test.cpp
+++ b/src/base/base_test.cpp
@@ -99,6 +99,14 @@
     cr_assert_throw(control_of("other"), settings_error);
 }
 
+// Guards against a number that no double can hold ending the start without a clear error.
+Test(base_settings, names_the_file_for_a_number_out_of_range)
+{
+    std::string text = valid_settings;
+    text.replace(text.find("\"a1\""), 4, "1e4000");
+    cr_assert_throw(parse_settings(text, "node.json"), settings_error);
+}
+
 // Guards against addresses with trailing text, missing parts or ports out of range.
 Test(base_endpoint, rejects_malformed_addresses)
 {
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -206,7 +206,8 @@
     {
         document = json::parse(text, nullptr, true, true);
     }
-    catch (const json::parse_error& problem)
+    // Also a number that no double can hold, which is no parse_error.
+    catch (const json::exception& problem)
     {
         throw settings_error(file, "", problem.what());
     }
