Summarize durations by Boost.Accumulators

Cause: GET /v1/metrics has counts and no times, and the house style's library for metrics was not used anywhere. Ruled out: keeping samples, since their number is not bounded. Change: duration_metric collects count, mean, maximum and percentiles by P-square in windows of 10 s; unit test.

--- a/src/base/base_test.cpp
+++ b/src/base/base_test.cpp
@@ -5,6 +5,7 @@
 #include "fescueridge/base/endpoint.hpp"
 #include "fescueridge/base/error.hpp"
 #include "fescueridge/base/events.hpp"
+#include "fescueridge/base/metrics.hpp"
 #include "fescueridge/base/outcome.hpp"
 #include "fescueridge/base/settings.hpp"
 
@@ -178,3 +179,28 @@
         last = entry.lamport;
     }
 }
+
+// Guards against percentiles that are off by more than their estimate allows, and against
+// old samples in a summary.
+Test(base_metrics, summarizes_the_window_before)
+{
+    using std::chrono::microseconds;
+    const time_point start{metric_window * 100};
+    duration_metric metric;
+    cr_assert(metric.summary(start).count == 0);
+    for (int i = 0; i < 1000; ++i)
+    {
+        metric.add(microseconds(1000 * (1 + i * 7 % 1000)), start);
+    }
+    cr_assert(metric.summary(start).count == 1000,
+              "the present window, with none before");
+    metric.add(microseconds(5'000'000), start + metric_window);
+    const duration_summary before = metric.summary(start + metric_window);
+    cr_assert(before.count == 1000);
+    cr_assert_float_eq(before.mean, 500.5, 0.1);
+    cr_assert_float_eq(before.p50, 500, 25);
+    cr_assert_float_eq(before.p99, 990, 10);
+    cr_assert_float_eq(before.max, 1000, 0.001);
+    cr_assert(metric.summary(start + 2 * metric_window).count == 1);
+    cr_assert(metric.summary(start + 4 * metric_window).count == 0);
+}
