Look a call up in the sheet once in the executor

Cause: reason_to_refuse and is_at_most_once each took the sheet in force and looked for the rule. A sheet that came into force between the two could let a call without a key through the first check as one that runs many times and send it to the claims with the second, where the missing key is dereferenced.

Change: check_rule returns the refusal and whether the call runs at most once from one lookup; check_server keeps the checks of the server.

--- a/src/node/executor_core.cpp
+++ b/src/node/executor_core.cpp
@@ -44,28 +44,34 @@
 {
 }
 
-std::optional<refusal_reason>
-executor_core::reason_to_refuse(const call_message& call) const
+// One lookup decides both: with a second one, a sheet that comes into force in between
+// could let a call without a key through as one that needs no claim.
+executor_core::rule_verdict executor_core::check_rule(const call_message& call) const
 {
     const auto snapshot = ports_.sheets.get();
     if (!snapshot)
     {
-        return refusal_reason::no_sheet;
+        return {refusal_reason::no_sheet, false};
     }
     if (call.depth > max_call_depth)
     {
-        return refusal_reason::too_deep;
+        return {refusal_reason::too_deep, false};
     }
     const rule* decided =
         snapshot->rules->find(call.service.get(), call.caller.get(), call.path);
     if (decided == nullptr)
     {
-        return refusal_reason::no_rule;
+        return {refusal_reason::no_rule, false};
     }
     if (decided->at_most_once && !call.key)
     {
-        return refusal_reason::key_missing;
+        return {refusal_reason::key_missing, true};
     }
+    return {std::nullopt, decided->at_most_once};
+}
+
+std::optional<refusal_reason> executor_core::check_server(const call_message& call) const
+{
     const std::lock_guard lock(mutex_);
     if (draining_ || (server_ && server_->state == server_state::draining))
     {
@@ -78,15 +84,6 @@
     return std::nullopt;
 }
 
-bool executor_core::is_at_most_once(const call_message& call) const
-{
-    const auto snapshot = ports_.sheets.get();
-    const rule* decided =
-        snapshot ? snapshot->rules->find(call.service.get(), call.caller.get(), call.path)
-                 : nullptr;
-    return decided != nullptr && decided->at_most_once;
-}
-
 bool executor_core::passes_level(const call_message& call)
 {
     const std::lock_guard lock(mutex_);
@@ -100,7 +97,8 @@
     work->request = fingerprint_of(call);
     work->call = std::move(call);
     work->done = std::move(done);
-    if (const auto reason = reason_to_refuse(work->call))
+    const rule_verdict rule = check_rule(work->call);
+    if (const auto reason = rule.refused ? rule.refused : check_server(work->call))
     {
         refuse(work, *reason, outcome::not_run);
         return;
@@ -123,7 +121,7 @@
         jobs_.emplace(work->number, work);
         numbers_.emplace(work->call.id, work->number);
     }
-    if (is_at_most_once(work->call))
+    if (rule.at_most_once)
     {
         claim_key(work);
     }
--- a/src/node/executor_core.hpp
+++ b/src/node/executor_core.hpp
@@ -56,8 +56,16 @@
     std::size_t in_flight() const;
 
 private:
+    /// What the sheet says of a call.
+    struct rule_verdict
+    {
+        std::optional<refusal_reason> refused;
+        bool at_most_once = false;
+    };
+
     // Admission.
-    std::optional<refusal_reason> reason_to_refuse(const call_message& call) const;
+    rule_verdict check_rule(const call_message& call) const;
+    std::optional<refusal_reason> check_server(const call_message& call) const;
     bool passes_level(const call_message& call);
     void claim_key(const job_ptr& work);
     void enqueue(const job_ptr& work);
@@ -85,7 +93,6 @@
     // Ends.
     void refuse(const job_ptr& work, refusal_reason reason, outcome result);
     void finish(const job_ptr& work, reply_message reply);
-    bool is_at_most_once(const call_message& call) const;
 
     executor_ports ports_;
     mutable std::mutex mutex_;
