Write a link frame at once in place of posting the write

Cause: websocketpp's dispatch posts every write to the io_context, so a call and its reply each waited for a turn of the event loop (an epoll_wait that returns at once) before the frame was written.

Change: the links' connection type dispatches on its strand: a write that is asked for on an io thread starts in place, others are posted as before. The library releases its write lock before it dispatches, and the end of a write is still reported through the event loop, so calls do not nest.

--- a/src/transport/websocket_config.hpp
+++ b/src/transport/websocket_config.hpp
@@ -11,6 +11,25 @@
 namespace fescueridge::detail
 {
 
+/// Connection that starts a write at once when it is asked to from an io thread. The
+/// library's own dispatch always posts, so that each frame waits for a turn of the event
+/// loop.
+template <class Config>
+class direct_connection : public websocketpp::transport::asio::connection<Config>
+{
+public:
+    using base = websocketpp::transport::asio::connection<Config>;
+    using type = direct_connection<Config>;
+    using ptr = std::shared_ptr<type>;
+    using base::base;
+
+    websocketpp::lib::error_code dispatch(websocketpp::transport::dispatch_handler step)
+    {
+        asio::dispatch(*base::get_strand(), std::move(step));
+        return {};
+    }
+};
+
 /// Transport that can bind outgoing connections to a source address. The library's own
 /// async_connect closes a socket that was bound before, so it is replaced. Targets are IP
 /// numbers, as everywhere in the project.
@@ -19,7 +38,8 @@
 {
 public:
     using base = websocketpp::transport::asio::endpoint<Config>;
-    using transport_con_ptr = typename base::transport_con_ptr;
+    using transport_con_type = direct_connection<Config>;
+    using transport_con_ptr = typename transport_con_type::ptr;
 
     void set_source(const asio::ip::address& source) { source_ = source; }
 
