--- a/scripts/bench/figures.py
+++ b/scripts/bench/figures.py
@@ -18,32 +18,49 @@
     return (int(fields[11]) + int(fields[12])) / TICKS
 
 
+# The rate of the target; the others show how the added time depends on the rate.
+ADDED_TIME_RATE = 150
+ADDED_TIME_RATES = (ADDED_TIME_RATE, 1000, 5000)
+
+
 def added_time(build, quick, results):
     """Time of a call through two nodes minus that of the call made directly."""
     runs, seconds = (3, 4) if quick else (7, 8)
-    added = {"p50": [], "p99": []}
     with Chain(build, depth=1, width=1, slots=50, service_ms=2.0) as chain:
         entry = chain.fleet.add_node("entry", "a")
         entry.level = 0
         entry.start(chain.fleet.contacts(), chain.fleet.log_port)
         chain.fleet.wait_ready(nodes=[entry])
         chain.fleet.wait_servers(nodes=[entry])
-        cpu_busy()
-        direct = ["127.0.0.1:%d" % chain.deepest[0].server_port]
-        for run in range(runs):
-            # At the same time, so that other use of the machine meets both alike.
-            loads = [chain.start_load([chain.call_class(TOP, 150, service=service)],
-                                      [phase("warm", 1, {}), phase("even", seconds, {})],
-                                      seed=run + 1, nodes=[entry], targets=targets)
-                     for service, targets in (("", direct), ("s1", None))]
-            plain, through = [
-                chain.finish_load(load)["classes"][0]["phases"][1]["latency_ms"]
-                for load in loads]
-            for name, values in added.items():
-                values.append(through[name] - plain[name])
-        busy = cpu_busy()
-    results.add("added time, 99th percentile", "ms", added["p99"], "<= 0.4", busy=busy)
-    results.add("added time, median", "ms", added["p50"], "<= 0.4", busy=busy)
+        for rate in ADDED_TIME_RATES:
+            cpu_busy()
+            added, plain = added_times(chain, entry, rate, runs, seconds)
+            busy = cpu_busy()
+            target = "<= 0.4" if rate == ADDED_TIME_RATE else "report"
+            suffix = "" if rate == ADDED_TIME_RATE else " at %d calls/s" % rate
+            for name, percentile in (("99th percentile", "p99"), ("median", "p50")):
+                results.add("added time, %s%s" % (name, suffix), "ms", added[percentile],
+                            target, busy=busy,
+                            direct_ms=round(statistics.median(plain[percentile]), 4))
+
+
+def added_times(chain, entry, rate, runs, seconds):
+    """Returns the differences and the direct times of each run by percentile."""
+    added, direct = {"p50": [], "p99": []}, {"p50": [], "p99": []}
+    server = ["127.0.0.1:%d" % chain.deepest[0].server_port]
+    for run in range(runs):
+        # At the same time, so that other use of the machine meets both alike.
+        loads = [chain.start_load([chain.call_class(TOP, rate, service=service)],
+                                  [phase("warm", 1, {}), phase("even", seconds, {})],
+                                  seed=run + 1, nodes=[entry], targets=targets)
+                 for service, targets in (("", server), ("s1", None))]
+        plain, through = [
+            chain.finish_load(load)["classes"][0]["phases"][1]["latency_ms"]
+            for load in loads]
+        for name in added:
+            added[name].append(through[name] - plain[name])
+            direct[name].append(plain[name])
+    return added, direct
 
 
 def one_core(build, quick, results):
