Run the answers case with two threads a node

Cause: since a node has one thread by default, no end-to-end case runs calls on several threads any more, which operators can still configure.

Change: testsuite/answers, which mixes faults and concurrent calls on shared connections, starts its nodes with two threads. The other cases use the default.

--- a/testsuite/answers/answers.py
+++ b/testsuite/answers/answers.py
@@ -242,7 +242,9 @@
     with Fleet(build, seed) as fleet:
         fleet.start_log()
         first, second, third = (fleet.add_node(name, "a") for name in ("a1", "a2", "a3"))
-        fleet.start_nodes()
+        # Two threads a node, not the default of one, so that faults of connections that
+        # several threads use at the same time can show.
+        fleet.start_nodes({"threads": 2})
         assert fleet.submit(RULES)["status"] == "accepted"
         fleet.wait_ready()
         with ScriptedServer(first, "scripted") as server, \
