Let new requests come before resends of one priority

Cause: after a surge the slots are in use, but by resends. New requests were refused meanwhile and sent again in turn. Ruled out: slots held back by the levels, since they were in use; a level per entry node only, since deeper nodes would decide otherwise than the root. Change: levels have two classes for each priority, new before resent. The class is in the call message, and levels, the admission queue and root decisions follow it. The entry node tells a resend by Fescue-Attempt over 1, a known root, or a mark that an earlier refusal left (overload/refusal_marks, bounded and in shards). Tokens have the class in a second layout; tokens of the first keep their explanation. Parts of levels that are out of range close the link instead of being cut to other numbers. GET /v1/pressure has the class of the cut and the real age of each level, which was always 0. Tests: the test of cut tokens cut four characters and relied on the length of the token; it now cuts to a whole group of four, and expects the same fault. The test that priority 0 is cut last now protects both of its classes.

--- a/src/capacity/tables.cpp
+++ b/src/capacity/tables.cpp
@@ -177,11 +177,12 @@
             table.observe_root(service_name(service_of(i)), "/part", levels, true);
         }
         const double held = heap_bytes() - heap;
-        const double decide = seconds_of(
-            times,
-            [&] {
-                table.decide(100, priority(3), service_name(service_of(1)), "/part", now);
-            });
+        const double decide =
+            seconds_of(times,
+                       [&] {
+                           table.decide(100, {priority(3)}, service_name(service_of(1)),
+                                        "/part", now);
+                       });
         points.push_back(
             {{"services", touched}, {"heap_bytes", held}, {"decide_s", decide}});
     }
--- a/src/codec/messages.cpp
+++ b/src/codec/messages.cpp
@@ -54,7 +54,7 @@
     for (const admission_level& level : levels)
     {
         result.push_back(level.service.get());
-        result.push_back(level.cut_priority);
+        result.push_back(2 * level.cut_priority + (level.cut_resends ? 1 : 0));
         result.push_back(level.cut_fraction);
     }
     return result;
@@ -77,7 +77,8 @@
         return make(frame_type::call, m.id.get(), to_binary(m.root.get()),
                     to_binary(m.caller.get()), to_binary(m.service.get()), m.rank.get(),
                     m.time_left.count(), m.allowance.get(), m.depth, m.attempt, key,
-                    m.method, to_binary(m.path), to_array(m.headers), to_binary(m.body));
+                    m.method, to_binary(m.path), to_array(m.headers), to_binary(m.body),
+                    m.resend ? 1 : 0);
     }
 
     json operator()(const reply_message& m) const
@@ -273,19 +274,28 @@
     return result;
 }
 
+/// Returns a part of an admission level.
+std::uint16_t level_number(const json& value, std::uint32_t highest)
+{
+    if (!value.is_number_unsigned() || value.get<std::uint64_t>() > highest)
+    {
+        throw codec_error(fmt::format(
+            "an admission level has a part that is no number from 0 to {}", highest));
+    }
+    return value.get<std::uint16_t>();
+}
+
 std::vector<admission_level> read_levels(field_reader& in)
 {
     const json& list = in.array(3);
     std::vector<admission_level> result;
     for (std::size_t i = 0; i < list.size(); i += 3)
     {
-        if (!list[i + 1].is_number_unsigned() || !list[i + 2].is_number_unsigned())
-        {
-            throw codec_error("an admission level is not a pair of numbers");
-        }
+        const auto root_class = level_number(list[i + 1], 2 * priority_count);
+        const auto fraction = level_number(list[i + 2], fraction_count - 1);
         result.push_back({service_name(in.to_text(list[i])),
-                          list[i + 1].get<std::uint8_t>(),
-                          list[i + 2].get<std::uint16_t>()});
+                          static_cast<std::uint8_t>(root_class / 2), fraction,
+                          root_class % 2 == 1});
     }
     return result;
 }
@@ -312,6 +322,7 @@
     m.path = in.text();
     m.headers = read_headers(in);
     m.body = read_body(in);
+    m.resend = in.number<int>(0, 1) == 1;
     return m;
 }
 
--- a/src/codec/messages_test.cpp
+++ b/src/codec/messages_test.cpp
@@ -24,6 +24,7 @@
     m.path = "/price";
     m.headers = {{"Accept", "*/*"}};
     m.body = std::string("\0\x80 body", 7);
+    m.resend = true;
     return m;
 }
 
@@ -53,6 +54,7 @@
     cr_assert(m.body == sample_call().body);
     cr_assert(m.key == sample_call().key);
     cr_assert(m.time_left == milliseconds(250));
+    cr_assert(m.resend);
     cr_assert(m.headers.size() == 1 && m.headers[0].value == "*/*");
 }
 
@@ -63,11 +65,17 @@
     m.id = call_id("a1-8");
     m.result = outcome::ok;
     m.status = 200;
-    m.levels = {{service_name("s"), 4, 512}};
+    m.levels = {{service_name("s"), 4, 512, true}};
     const link_frame frame = decode_frame(encode_frame({1, m}));
     const auto& decoded = std::get<reply_message>(frame.message);
     cr_assert(!decoded.reason.has_value());
     cr_assert(decoded.levels.size() == 1 && decoded.levels[0].cut_fraction == 512);
+    cr_assert(decoded.levels[0].cut_priority == 4 && decoded.levels[0].cut_resends);
+    // Guards against numbers out of range that are cut to a level which nobody sent.
+    m.levels = {{service_name("s"), lowest_priority + 2, 0}};
+    cr_assert(is_rejected(encode_frame({1, m})));
+    m.levels = {{service_name("s"), 4, 1024}};
+    cr_assert(is_rejected(encode_frame({1, m})));
 }
 
 // Guards against a crash or a cleared mark that is lost between nodes.
--- a/src/fescueridge/fleet_commands.cpp
+++ b/src/fescueridge/fleet_commands.cpp
@@ -245,11 +245,12 @@
         fmt::print("{}\n", to_text(json(view)));
         return exit_ok;
     }
-    fmt::print("{:<24} {:>12} {:>12} {:>8}\n", "service", "cut priority", "cut fraction",
-               "age ms");
+    fmt::print("{:<24} {:>12} {:>12} {:>12} {:>8}\n", "service", "cut priority",
+               "cut class", "cut fraction", "age ms");
     for (const service_pressure& service : view.services)
     {
-        fmt::print("{:<24} {:>12} {:>12} {:>8}\n", service.service, service.cut_priority,
+        fmt::print("{:<24} {:>12} {:>12} {:>12} {:>8}\n", service.service,
+                   service.cut_priority, service.cut_resends ? "resend" : "new",
                    service.cut_fraction, service.age_ms);
     }
     return exit_ok;
--- a/src/fescueridge/sheet_commands.cpp
+++ b/src/fescueridge/sheet_commands.cpp
@@ -198,11 +198,16 @@
                    {"domain", record.domain.get()},
                    {"node", record.node.get()},
                    {"time_ms", record.wall_ms}};
+    if (record.resend)
+    {
+        result["resend"] = *record.resend;
+    }
     if (record.level)
     {
         result["level"] = {{"service", record.level->service.get()},
                            {"cut_priority", record.level->cut_priority},
-                           {"cut_fraction", record.level->cut_fraction}};
+                           {"cut_fraction", record.level->cut_fraction},
+                           {"cut_resends", record.level->cut_resends}};
     }
     return result;
 }
--- a/src/include/fescueridge/codec/messages.hpp
+++ b/src/include/fescueridge/codec/messages.hpp
@@ -21,13 +21,22 @@
     std::string value;
 };
 
-/// What a node admits at the moment: calls whose rank (priority, root fraction) lies
+/// Number of priorities.
+constexpr std::uint32_t priority_count = lowest_priority + 1;
+
+/// Number of root fractions within one root class.
+constexpr std::uint32_t fraction_count = 1024;
+
+/// What a node admits at the moment: calls whose rank (root class, root fraction) lies
 /// below it. A level of (lowest_priority + 1, 0) admits everything.
 struct admission_level
 {
     service_name service;
     std::uint8_t cut_priority = lowest_priority + 1;
     std::uint16_t cut_fraction = 0;
+    /// The fraction is one of the resends of the cut priority, and its new requests are
+    /// all admitted; otherwise it is one of the new requests, and no resend is admitted.
+    bool cut_resends = false;
 };
 
 /// First message on a link, in both directions.
@@ -57,6 +66,7 @@
     std::string path;
     std::vector<header_field> headers;
     std::string body;
+    bool resend = false; ///< Root class: comes after new requests of its priority.
 };
 
 /// The answer to a call: whole, or a typed failure.
--- a/src/include/fescueridge/node/call_context.hpp
+++ b/src/include/fescueridge/node/call_context.hpp
@@ -13,6 +13,7 @@
 #include "fescueridge/base/stopwatch.hpp"
 #include "fescueridge/base/types.hpp"
 #include "fescueridge/codec/messages.hpp"
+#include "fescueridge/overload/rank.hpp"
 #include "fescueridge/overload/retry.hpp"
 
 namespace fescueridge
@@ -42,8 +43,8 @@
 {
 public:
     /// Makes the context of a root request.
-    call_context(root_id root, caller_name caller, priority rank, time_point deadline,
-                 retry_allowance allowance);
+    call_context(root_id root, caller_name caller, const root_class& of,
+                 time_point deadline, retry_allowance allowance);
 
     /// Makes the context of a call that another node sent.
     call_context(const call_message& call, time_point now);
@@ -51,6 +52,7 @@
     const root_id root;
     const caller_name caller;
     const priority rank;
+    const bool resend; ///< Part of the root class, as `rank`.
     const time_point deadline;
     const std::uint32_t depth;
     const std::uint32_t attempt;
--- a/src/include/fescueridge/node/call_ports.hpp
+++ b/src/include/fescueridge/node/call_ports.hpp
@@ -13,6 +13,7 @@
 #include "fescueridge/node/refusals.hpp"
 #include "fescueridge/node/sheet_holder.hpp"
 #include "fescueridge/overload/pressure.hpp"
+#include "fescueridge/overload/refusal_marks.hpp"
 #include "fescueridge/overload/retry.hpp"
 #include "fescueridge/transport/http_server.hpp"
 
@@ -50,6 +51,7 @@
     call_table& calls;
     pressure_table& pressure;
     root_ledger& ledger;
+    refusal_marks& marks;
     limit_control& limits;
     id_source& ids;
     event_log& events;
@@ -90,6 +92,8 @@
     void answer(http_exchange& exchange, const root_id& root, const reply_message& reply);
     void refuse(http_exchange& exchange, const entry_call& entry, refusal_reason reason,
                 const std::optional<admission_level>& level = std::nullopt);
+    bool is_resend(const entry_call& entry);
+    void mark_refusal(const entry_call& entry);
     bool passes_checks(const entry_call& entry, http_exchange& exchange);
     bool open_root(entry_call& entry, http_exchange& exchange);
     void start_root(const std::shared_ptr<entry_call>& entry, http_request request,
--- a/src/include/fescueridge/node/refusals.hpp
+++ b/src/include/fescueridge/node/refusals.hpp
@@ -18,6 +18,7 @@
     service_name service;
     priority rank;
     std::string path;
+    bool resend = false;
 };
 
 /// Makes replies for calls that were refused or failed, with a token that explains them.
--- a/src/include/fescueridge/overload/admission.hpp
+++ b/src/include/fescueridge/overload/admission.hpp
@@ -34,6 +34,7 @@
     time_point deadline;
     std::uint16_t fraction = 0; ///< root_fraction of its root.
     bool exclusive = false;     ///< Must run while no other call runs (quarantine).
+    bool resend = false;        ///< Comes after new requests of its priority.
 };
 
 /// The call may start now and counts as running.
@@ -99,7 +100,7 @@
 };
 
 /// Priority queue and concurrency limit in front of one backend server. Waiting calls
-/// start in order of priority, then arrival. Not thread safe: the owner calls it under
+/// start in order of root class, then arrival. Not thread safe: the owner calls it under
 /// one lock.
 class admission_queue
 {
@@ -107,7 +108,8 @@
     explicit admission_queue(limit_policy policy, admission_settings settings = {});
 
     /// Takes a call: starts it, queues it or refuses it. A full queue drops the newest
-    /// call of the lowest priority, which may be the offered one (then `result` says so).
+    /// call of the lowest root class, which may be the offered one (then `result` says
+    /// so).
     offer_outcome offer(const waiting_call& call, time_point now);
 
     /// Ends a running call and fills its slot. `service_time` is the time at the backend
@@ -181,7 +183,7 @@
 
     limit_policy policy_;
     admission_settings settings_;
-    std::array<lane, priority_count + 1> lanes_; // the last one holds exclusive calls
+    std::array<lane, class_count + 1> lanes_; // the last one holds exclusive calls
     std::unordered_map<std::uint64_t, position> index_;
     std::set<std::pair<time_point, std::uint64_t>> deadlines_;
     std::unordered_map<std::uint64_t, bool> running_; // value: exclusive
--- a/src/include/fescueridge/overload/pressure.hpp
+++ b/src/include/fescueridge/overload/pressure.hpp
@@ -32,7 +32,7 @@
     explicit level_controller(service_name service);
 
     /// Counts an arriving call and returns whether its rank lies below the level.
-    bool admit(priority rank, std::uint16_t fraction);
+    bool admit(const root_class& of, std::uint16_t fraction);
 
     /// Updates the level from what the queue saw; call it every level_interval.
     void update(const queue_window& window, time_point now);
@@ -50,7 +50,7 @@
     double capacity(const queue_window& window) const;
     std::uint32_t position_for(double rate) const;
     double total_demand() const;
-    double share_admitted(std::uint32_t rank) const;
+    double share_admitted(std::uint32_t index) const;
 
     service_name service_;
     std::uint32_t position_ = open_position;
@@ -59,9 +59,9 @@
     double excess_ = 0;            // share of admitted calls that the queue dropped
     double at_once_ = 1;           // share of started calls that found a free slot
     std::optional<time_point> last_update_;
-    std::array<double, priority_count> demand_{};       // calls per second
-    std::array<std::uint32_t, priority_count> under_{}; // arrivals below the level
-    std::array<std::uint32_t, priority_count> over_{};  // arrivals above it
+    std::array<double, class_count> demand_{};       // calls per second
+    std::array<std::uint32_t, class_count> under_{}; // arrivals below the level
+    std::array<std::uint32_t, class_count> over_{};  // arrivals above it
     std::uint32_t admitted_ = 0;
     std::uint32_t top_pressure_ = 0; // consecutive windows in which priority 0 suffered
 };
@@ -82,6 +82,13 @@
 
 using root_decision = std::variant<root_admitted, root_refused>;
 
+/// An aged level of a service, and the time since the last report of it.
+struct reported_level
+{
+    admission_level level;
+    milliseconds age{0};
+};
+
 /// Admission levels of other services, learned from replies, and the services that the
 /// calls of each (entry service, path prefix) touch. Thread safe.
 class pressure_table
@@ -93,7 +100,7 @@
     pressure_table& operator=(const pressure_table&) = delete;
 
     /// Takes over the levels of a reply. Levels of several servers of one service are
-    /// combined: the table holds for each priority the mean admitted fraction, weighted
+    /// combined: the table holds for each root class the mean admitted fraction, weighted
     /// by the number of replies.
     void observe(const std::vector<admission_level>& levels, time_point now);
 
@@ -104,8 +111,9 @@
 
     /// Decides on a root. Refuses it when its rank is over the level of the entry service
     /// or of a service that at least half of such roots touched.
-    root_decision decide(std::uint16_t fraction, priority rank, const service_name& entry,
-                         const std::string& path, time_point now);
+    root_decision decide(std::uint16_t fraction, const root_class& of,
+                         const service_name& entry, const std::string& path,
+                         time_point now);
 
     /// Returns true when the service or one that its calls likely touch refuses a part of
     /// its calls, so that it has no slots to spare for hedges.
@@ -117,7 +125,7 @@
                                          time_point now) const;
 
     /// Returns all known levels, aged, for the operator port.
-    std::vector<admission_level> levels(time_point now) const;
+    std::vector<reported_level> levels(time_point now) const;
 
     /// Forgets levels without a report for `age`, and bounds the memory of the table.
     void expire(time_point now, milliseconds age = milliseconds{60'000});
--- a/src/include/fescueridge/overload/quarantine.hpp
+++ b/src/include/fescueridge/overload/quarantine.hpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -14,6 +15,10 @@
 namespace fescueridge
 {
 
+/// Returns the fingerprint of a request, the same for all resends of it.
+fingerprint fingerprint_of(const service_name& service, const std::string& method,
+                           const std::string& path, const std::string& body);
+
 /// The request is not suspected.
 struct run_normally
 {
--- a/src/include/fescueridge/overload/retry.hpp
+++ b/src/include/fescueridge/overload/retry.hpp
@@ -110,6 +110,9 @@
     /// Forgets roots that ended long ago; call it about once a second.
     void expire(time_point now);
 
+    /// Returns true when a root began here and is still remembered.
+    bool knows(const root_id& root, time_point now) const;
+
     std::size_t size() const;
 
 private:
--- a/src/include/fescueridge/sheet/explain.hpp
+++ b/src/include/fescueridge/sheet/explain.hpp
@@ -30,6 +30,7 @@
     node_id node;
     std::int64_t wall_ms = 0;             ///< Wall-clock time of the refusal.
     std::optional<admission_level> level; ///< Level that the call failed to reach.
+    std::optional<bool> resend; ///< Root class; nothing in tokens of before the classes.
 };
 
 /// Fills in the parts of a record that come from the sheet. `decided` may be nullptr.
--- a/src/include/fescueridge/sheet/operator_api.hpp
+++ b/src/include/fescueridge/sheet/operator_api.hpp
@@ -131,7 +131,8 @@
     std::string service;
     std::uint32_t cut_priority = 0;
     std::uint32_t cut_fraction = 0;
-    std::uint64_t age_ms = 0;
+    bool cut_resends = false; ///< The fraction is one of the resends of the priority.
+    std::uint64_t age_ms = 0; ///< Since the last report; 0 for the own server's level.
 };
 
 /// Answer to GET /v1/pressure.
--- a/src/node/call_context.cpp
+++ b/src/node/call_context.cpp
@@ -31,15 +31,16 @@
 }
 
 call_context::call_context(root_id root_value, caller_name caller_value,
-                           priority rank_value, time_point deadline_value,
+                           const root_class& of, time_point deadline_value,
                            retry_allowance allowance_value)
-    : root(std::move(root_value)), caller(std::move(caller_value)), rank(rank_value),
-      deadline(deadline_value), depth(0), attempt(1), allowance(allowance_value)
+    : root(std::move(root_value)), caller(std::move(caller_value)), rank(of.rank),
+      resend(of.resend), deadline(deadline_value), depth(0), attempt(1),
+      allowance(allowance_value)
 {
 }
 
 call_context::call_context(const call_message& call, time_point now)
-    : root(call.root), caller(call.caller), rank(call.rank),
+    : root(call.root), caller(call.caller), rank(call.rank), resend(call.resend),
       deadline(now + call.time_left), depth(call.depth), attempt(call.attempt),
       key(call.key), allowance(call.allowance)
 {
--- a/src/node/call_context_test.cpp
+++ b/src/node/call_context_test.cpp
@@ -10,7 +10,7 @@
 
 call_context make_context()
 {
-    return call_context(root_id("r"), caller_name("c"), priority(3),
+    return call_context(root_id("r"), caller_name("c"), root_class{priority(3)},
                         clock::now() + milliseconds(1000), retry_allowance(3));
 }
 
--- a/src/node/call_ports.cpp
+++ b/src/node/call_ports.cpp
@@ -7,6 +7,8 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "fescueridge/overload/quarantine.hpp"
+
 namespace fescueridge
 {
 
@@ -197,6 +199,14 @@
     return response;
 }
 
+/// Returns true if the load refused a call; the same request may succeed later.
+bool refused_for_load(const reply_message& reply)
+{
+    return reply.reason == refusal_reason::overload ||
+           reply.reason == refusal_reason::overload_downstream ||
+           (reply.reason == refusal_reason::deadline && reply.result == outcome::not_run);
+}
+
 http_response bad_request(const std::string& text)
 {
     const nlohmann::ordered_json body{
@@ -227,10 +237,13 @@
     std::shared_ptr<const sheet_snapshot> sheet;
     const rule* decided = nullptr;
     root_id root;
+    fingerprint request;
+    bool resend = false;
     retry_allowance allowance;
     std::shared_ptr<call_context> context;
 
     priority rank() const { return decided ? decided->rank : priority(lowest_priority); }
+    root_class of() const { return {rank(), resend}; }
 };
 
 call_ports::call_ports(call_port_parts parts) : parts_(std::move(parts)) {}
@@ -251,6 +264,9 @@
         return;
     }
     entry->root = entry->call.root ? *entry->call.root : parts_.ids.next_root();
+    entry->request = fingerprint_of(entry->call.service, request.method, entry->call.path,
+                                    request.body);
+    entry->resend = is_resend(*entry);
     entry->sheet = parts_.sheets.get();
     if (entry->sheet)
     {
@@ -263,6 +279,21 @@
     }
 }
 
+bool call_ports::is_resend(const entry_call& entry)
+{
+    const time_point now = clock::now();
+    // A mark is taken also when the caller says that it sends again, so that it does not
+    // stay for an equal request which is new.
+    const bool marked = parts_.marks.take(entry.call.caller, entry.request, now);
+    const bool known = entry.call.root && parts_.ledger.knows(entry.root, now);
+    return marked || known || entry.call.attempt > 1;
+}
+
+void call_ports::mark_refusal(const entry_call& entry)
+{
+    parts_.marks.add(entry.call.caller, entry.request, clock::now());
+}
+
 bool call_ports::passes_checks(const entry_call& entry, http_exchange& exchange)
 {
     std::optional<refusal_reason> reason = parts_.reason_to_refuse();
@@ -284,10 +315,11 @@
         return false;
     }
     const root_decision pressure =
-        parts_.pressure.decide(root_fraction(entry.root), entry.rank(),
-                               entry.call.service, entry.call.path, clock::now());
+        parts_.pressure.decide(root_fraction(entry.root), entry.of(), entry.call.service,
+                               entry.call.path, clock::now());
     if (const auto* refused = std::get_if<root_refused>(&pressure))
     {
+        mark_refusal(entry);
         refuse(exchange, entry,
                refused->entry ? refusal_reason::overload
                               : refusal_reason::overload_downstream,
@@ -296,6 +328,7 @@
     }
     if (!parts_.limits.admit(*entry.decided))
     {
+        mark_refusal(entry);
         refuse(exchange, entry, refusal_reason::limit);
         return false;
     }
@@ -330,7 +363,7 @@
     const milliseconds longest = entry->decided->timeout.value_or(entry->call.timeout);
     const milliseconds timeout = std::min(entry->call.timeout, longest);
     entry->context =
-        std::make_shared<call_context>(entry->root, entry->call.caller, entry->rank(),
+        std::make_shared<call_context>(entry->root, entry->call.caller, entry->of(),
                                        clock::now() + timeout, entry->allowance);
     exchange->on_closed([context = entry->context] { context->end(); });
 
@@ -354,6 +387,10 @@
 void call_ports::end_root(const entry_call& entry, const reply_message& reply)
 {
     const bool ran = reply.result != outcome::not_run;
+    if (refused_for_load(reply))
+    {
+        mark_refusal(entry);
+    }
     parts_.ledger.close(entry.root, entry.context->allowance.left(), ran, clock::now());
     parts_.pressure.observe_root(entry.call.service, entry.call.path,
                                  entry.context->levels(), reply.result == outcome::ok);
@@ -384,6 +421,7 @@
         return;
     }
     entry.root = parent->root;
+    entry.resend = parent->resend;
     entry.call.caller = parent->caller;
     entry.decided = entry.sheet ? entry.sheet->rules->find(
                                       call.service.get(), parent->caller.get(), call.path)
@@ -423,9 +461,10 @@
                         refusal_reason reason,
                         const std::optional<admission_level>& level)
 {
-    const reply_message reply = parts_.refusals.make(
-        {call_id(), entry.call.caller, entry.call.service, entry.rank(), entry.call.path},
-        reason, outcome::not_run, level);
+    const reply_message reply =
+        parts_.refusals.make({call_id(), entry.call.caller, entry.call.service,
+                              entry.rank(), entry.call.path, entry.resend},
+                             reason, outcome::not_run, level);
     answer(exchange, entry.root, reply);
 }
 
--- a/src/node/executor_core.cpp
+++ b/src/node/executor_core.cpp
@@ -10,13 +10,6 @@
 namespace
 {
 
-fingerprint fingerprint_of(const call_message& call)
-{
-    const std::uint64_t line =
-        stable_hash(call.service.get() + '\n' + call.method + '\n' + call.path);
-    return fingerprint(stable_hash(call.body, line));
-}
-
 constexpr milliseconds queue_poll_interval{5};
 
 weigh_goal to_goal(weighting value)
@@ -90,14 +83,14 @@
 bool executor_core::passes_level(const call_message& call)
 {
     const std::lock_guard lock(mutex_);
-    return !level_ || level_->admit(call.rank, root_fraction(call.root));
+    return !level_ || level_->admit({call.rank, call.resend}, root_fraction(call.root));
 }
 
 void executor_core::execute(call_message call, local_executor::reply_callback done)
 {
     auto work = std::make_shared<job>();
     work->context = std::make_shared<call_context>(call, clock::now());
-    work->request = fingerprint_of(call);
+    work->request = fingerprint_of(call.service, call.method, call.path, call.body);
     work->call = std::move(call);
     work->done = std::move(done);
     if (const auto reason = reason_to_refuse(work->call))
@@ -161,7 +154,7 @@
         }
         reply_message reply = self->ports_.refusals.make(
             {work->call.id, work->call.caller, work->call.service, work->call.rank,
-             work->call.path},
+             work->call.path, work->call.resend},
             refusal_reason::key_in_use, outcome::unknown);
         const bool done = std::get<claim_key_in_use>(result).done;
         reply.headers.push_back({"Fescue-Key-State", done ? "done" : "in_doubt"});
@@ -184,6 +177,7 @@
     waiting.deadline = work->context->deadline;
     waiting.fraction = root_fraction(work->call.root);
     waiting.exclusive = work->alone;
+    waiting.resend = work->call.resend;
     offer_outcome offered;
     {
         const std::lock_guard lock(mutex_);
@@ -247,7 +241,7 @@
     const auto own_level = reason == refusal_reason::overload ? level() : std::nullopt;
     finish(work,
            ports_.refusals.make({work->call.id, work->call.caller, work->call.service,
-                                 work->call.rank, work->call.path},
+                                 work->call.rank, work->call.path, work->call.resend},
                                 reason, result, own_level));
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -191,6 +191,7 @@
                            calls_,
                            pressure_,
                            ledger_,
+                           marks_,
                            limits_,
                            ids_,
                            events_,
--- a/src/node/node_impl.hpp
+++ b/src/node/node_impl.hpp
@@ -103,6 +103,7 @@
     call_table calls_;
     pressure_table pressure_;
     root_ledger ledger_;
+    refusal_marks marks_;
     retry_budget budget_;
     suspicion_table suspicions_;
     peer_table peers_;
--- a/src/node/node_operator.cpp
+++ b/src/node/node_operator.cpp
@@ -1,6 +1,5 @@
 #include <map>
 #include <nlohmann/json.hpp>
-#include <tuple>
 
 #include "node_impl.hpp"
 
@@ -163,30 +162,28 @@
 
 pressure_view node::impl::pressure() const
 {
-    std::vector<admission_level> levels = pressure_.levels(clock::now());
+    std::vector<reported_level> levels = pressure_.levels(clock::now());
     if (const auto own = executor_.level())
     {
-        levels.push_back(*own);
+        levels.push_back({*own, milliseconds{0}});
     }
     // One entry for each service: the level that admits least.
-    std::map<std::string, service_pressure> lowest;
-    for (const admission_level& level : levels)
+    std::map<std::string, reported_level> lowest;
+    for (const reported_level& known : levels)
     {
-        const service_pressure entry{level.service.get(), level.cut_priority,
-                                     level.cut_fraction, 0};
-        const auto [known, is_new] = lowest.try_emplace(entry.service, entry);
-        if (!is_new &&
-            std::tie(entry.cut_priority, entry.cut_fraction) <
-                std::tie(known->second.cut_priority, known->second.cut_fraction))
+        const auto [entry, is_new] = lowest.try_emplace(known.level.service.get(), known);
+        if (!is_new && position_of(known.level) < position_of(entry->second.level))
         {
-            known->second = entry;
+            entry->second = known;
         }
     }
     pressure_view view;
     view.services.reserve(lowest.size());
-    for (const auto& [service, entry] : lowest)
+    for (const auto& [service, known] : lowest)
     {
-        view.services.push_back(entry);
+        view.services.push_back({service, known.level.cut_priority,
+                                 known.level.cut_fraction, known.level.cut_resends,
+                                 static_cast<std::uint64_t>(known.age.count())});
     }
     return view;
 }
--- a/src/node/outbound_call.cpp
+++ b/src/node/outbound_call.cpp
@@ -110,6 +110,7 @@
     message.path = request_.path;
     message.headers = request_.headers;
     message.body = request_.body;
+    message.resend = parent.resend;
     return message;
 }
 
@@ -405,9 +406,9 @@
 reply_message outbound_call::refusal(refusal_reason reason, outcome result) const
 {
     const call_context& parent = *request_.parent;
-    return state_->ports.refusals.make(
-        {call_id(), parent.caller, request_.service, parent.rank, request_.path}, reason,
-        result);
+    return state_->ports.refusals.make({call_id(), parent.caller, request_.service,
+                                        parent.rank, request_.path, parent.resend},
+                                       reason, result);
 }
 
 } // namespace fescueridge::detail
--- a/src/node/refusals.cpp
+++ b/src/node/refusals.cpp
@@ -27,6 +27,7 @@
     record.service = call.service;
     record.caller = call.caller;
     record.rank = call.rank;
+    record.resend = call.resend;
     record.domain = domain_;
     record.node = node_;
     record.wall_ms = wall_clock_ms();
--- a/src/overload/admission.cpp
+++ b/src/overload/admission.cpp
@@ -9,7 +9,10 @@
 namespace
 {
 
-constexpr std::uint32_t exclusive_lane = priority_count;
+constexpr std::uint32_t exclusive_lane = class_count;
+
+// Lanes of the classes below priority 0.
+constexpr std::uint32_t first_lower_lane = 2;
 
 // Bounds of the queue time: a standing queue only adds delay, a burst may be served.
 constexpr microseconds standing_target = milliseconds{5};
@@ -133,7 +136,7 @@
 void admission_queue::insert(const waiting_call& call)
 {
     const std::uint32_t lane =
-        call.exclusive ? exclusive_lane : std::min(call.rank.get(), lowest_priority);
+        call.exclusive ? exclusive_lane : class_index({call.rank, call.resend});
     const std::uint64_t order = next_order_++;
     lanes_[lane].emplace(order, call);
     index_.emplace(call.id, position{lane, order});
@@ -159,7 +162,7 @@
 
 std::optional<admission_queue::position> admission_queue::oldest_call() const
 {
-    // Among calls of the same age the lowest priority goes first: the higher ones have
+    // Among calls of the same age the lowest class goes first: the higher ones have
     // their turn anyway.
     std::optional<position> oldest;
     time_point arrival;
@@ -267,7 +270,7 @@
     {
         // Priority 0 is exempt: it waits only for the next free slot unless it overloads
         // the server alone, and then the burst bound holds.
-        drop_over(wait_target(), 1, 1, now, changes);
+        drop_over(wait_target(), first_lower_lane, 1, now, changes);
     }
 }
 
--- a/src/overload/admission_test.cpp
+++ b/src/overload/admission_test.cpp
@@ -16,7 +16,8 @@
 {
     return {id,          priority{static_cast<std::uint8_t>(rank)},
             at(arrival), at(arrival + timeout),
-            0,           false};
+            0,           false,
+            false};
 }
 
 bool starts(const offer_outcome& result)
@@ -50,6 +51,22 @@
     cr_assert(order == (std::vector<std::uint64_t>{4, 2, 3}));
 }
 
+// Guards against a resend that takes the slot of a new request of its priority.
+Test(overload_admission, resends_wait_for_new_requests)
+{
+    admission_queue queue{fixed_limit{1}, {weigh_goal::goodput, 2}};
+    queue.offer(call(1, 5, 0), at(0));
+    waiting_call resend = call(2, 5, 0);
+    resend.resend = true;
+    queue.offer(resend, at(0));
+    queue.offer(call(3, 5, 1), at(1));
+    const auto full = queue.offer(call(4, 5, 2), at(2));
+    cr_assert(full.changes.dropped.size() == 1 && full.changes.dropped[0].id == 2);
+    queue.cancel(4, at(2));
+    queue.offer(resend, at(2));
+    cr_assert_eq(queue.finish(1, milliseconds{1}, true, at(3)).start.at(0), 3);
+}
+
 // Guards against a full queue that drops an important or an old call.
 Test(overload_admission, full_queue_drops_newest_of_lowest_priority)
 {
--- a/src/overload/closed_loop_test.hpp
+++ b/src/overload/closed_loop_test.hpp
@@ -165,12 +165,12 @@
             top_offered_ += rank.get() == 0 ? 1 : 0;
         }
         if (settings_.at_root && std::holds_alternative<root_refused>(table_.decide(
-                                     fraction, rank, service_, "/p", now())))
+                                     fraction, {rank}, service_, "/p", now())))
         {
             return;
         }
         reached_ += counted(now()) ? 1 : 0;
-        if (!level_.admit(rank, fraction))
+        if (!level_.admit({rank}, fraction))
         {
             held_back_ += counted(now()) ? 1 : 0;
             send_reply();
--- a/src/overload/level_controller.cpp
+++ b/src/overload/level_controller.cpp
@@ -16,7 +16,7 @@
 constexpr double demand_time = 1.0;
 constexpr double demand_jump_time = 0.1;
 
-// A priority that is cut off sends only probes, so its known demand fades slowly instead
+// A class that is cut off sends only probes, so its known demand fades slowly instead
 // of following them.
 constexpr double hidden_demand_half_life = 2.0;
 
@@ -59,9 +59,9 @@
 
 level_controller::level_controller(service_name service) : service_(std::move(service)) {}
 
-bool level_controller::admit(priority rank, std::uint16_t fraction)
+bool level_controller::admit(const root_class& of, std::uint16_t fraction)
 {
-    const std::uint32_t place = rank_of(rank, fraction);
+    const std::uint32_t place = rank_of(of, fraction);
     const bool under = place < position_;
     auto& counts = under ? under_ : over_;
     ++counts[place / fraction_count];
@@ -69,9 +69,9 @@
     return under;
 }
 
-double level_controller::share_admitted(std::uint32_t rank) const
+double level_controller::share_admitted(std::uint32_t index) const
 {
-    const double above = static_cast<double>(position_) - rank * double{fraction_count};
+    const double above = static_cast<double>(position_) - index * double{fraction_count};
     return std::clamp(above / fraction_count, 0.0, 1.0);
 }
 
@@ -81,7 +81,7 @@
     const double quick = weight_of(seconds, demand_jump_time);
     const double margin = 3 / seconds;
     const double fade = std::exp2(-seconds / hidden_demand_half_life);
-    for (std::uint32_t i = 0; i < priority_count; ++i)
+    for (std::uint32_t i = 0; i < class_count; ++i)
     {
         const double seen = (under_[i] + over_[i]) / seconds;
         const double share = share_admitted(i);
@@ -171,7 +171,7 @@
 
 std::uint32_t level_controller::position_for(double rate) const
 {
-    for (std::uint32_t i = 0; i < priority_count; ++i)
+    for (std::uint32_t i = 0; i < class_count; ++i)
     {
         if (rate < demand_[i])
         {
@@ -199,12 +199,12 @@
     const bool top_suffers =
         window.dropped[0] > 0 || window.top_wait > 2 * window.wait_target;
     top_pressure_ = top_suffers ? top_pressure_ + 1 : 0;
-    const bool top_was_cut = position_ < fraction_count;
+    const bool top_was_cut = position_ < top_position;
     position_ = target_ ? position_for(*target_) : open_position;
     // Priority 0 is refused last: only when its own calls overload the server.
-    if (position_ < fraction_count && !top_was_cut && top_pressure_ < top_patience)
+    if (position_ < top_position && !top_was_cut && top_pressure_ < top_patience)
     {
-        position_ = fraction_count;
+        position_ = top_position;
     }
     under_.fill(0);
     over_.fill(0);
--- a/src/overload/pressure_table.cpp
+++ b/src/overload/pressure_table.cpp
@@ -26,13 +26,13 @@
 constexpr double least_weight = 0.02;
 constexpr double weight_step = 0.05;
 
-// A remaining deficit under 1% of one priority counts as open.
+// A remaining deficit under 1% of one class counts as open.
 constexpr double open_deficit = 0.01;
 
 constexpr std::size_t shard_count = 16;
 constexpr std::size_t max_paths_per_shard = 512;
 
-using shares = std::array<double, priority_count>;
+using shares = std::array<double, class_count>;
 
 shares shares_at(const admission_level& level)
 {
@@ -102,8 +102,8 @@
         last_report = std::max(last_report, now);
     }
 
-    /// Returns the admitted share of each priority after ageing. What has been regained
-    /// goes to the highest priorities first.
+    /// Returns the admitted share of each class after ageing. What has been regained
+    /// goes to the highest classes first.
     shares aged(time_point now) const
     {
         // The executing node updates its level at this interval, so a report is current
@@ -284,11 +284,11 @@
     part.paths[key].record(touched, complete);
 }
 
-root_decision pressure_table::decide(std::uint16_t fraction, priority rank,
+root_decision pressure_table::decide(std::uint16_t fraction, const root_class& of,
                                      const service_name& entry, const std::string& path,
                                      time_point now)
 {
-    const std::size_t row = std::min(rank.get(), lowest_priority);
+    const std::size_t row = class_index(of);
     const double place = fraction % fraction_count / double{fraction_count};
     std::optional<root_refused> refusal;
     double lowest_share = 2;
@@ -349,15 +349,16 @@
     return level_from(service, found->second.aged(now));
 }
 
-std::vector<admission_level> pressure_table::levels(time_point now) const
+std::vector<reported_level> pressure_table::levels(time_point now) const
 {
-    std::vector<admission_level> result;
+    std::vector<reported_level> result;
     for (const auto& part : impl_->services)
     {
         const std::lock_guard lock(part.mutex);
         for (const auto& [service, state] : part.services)
         {
-            result.push_back(level_from(service, state.aged(now)));
+            const auto age = std::max(milliseconds{0}, now - state.last_report);
+            result.push_back({level_from(service, state.aged(now)), age});
         }
     }
     return result;
--- a/src/overload/pressure_test.cpp
+++ b/src/overload/pressure_test.cpp
@@ -20,7 +20,7 @@
 {
     const auto decision =
         table.decide(static_cast<std::uint16_t>(fraction),
-                     priority{static_cast<std::uint8_t>(rank)}, menu, path, at(ms));
+                     {priority{static_cast<std::uint8_t>(rank)}}, menu, path, at(ms));
     return std::holds_alternative<root_admitted>(decision);
 }
 
@@ -34,7 +34,7 @@
     {
         cr_assert_eq(position_of(level_at(pricing, position)), position);
     }
-    cr_assert_lt(rank_of(priority{0}, 1'023), rank_of(priority{1}, 0));
+    cr_assert_lt(rank_of({priority{0}, true}, 1'023), rank_of({priority{1}}, 0));
     cr_assert_eq(root_fraction(root_id{"r"}), root_fraction(root_id{"r"}));
 }
 
@@ -44,7 +44,7 @@
 {
     pressure_table table;
     const admission_level open = level_at(menu, open_position);
-    const admission_level closed = level_at(pricing, 2 * fraction_count);
+    const admission_level closed = level_at(pricing, 4 * fraction_count);
     table.observe({open, closed}, at(0));
     for (int i = 0; i < 20; ++i)
     {
@@ -63,7 +63,7 @@
 {
     pressure_table table;
     const admission_level open = level_at(menu, open_position);
-    const admission_level closed = level_at(pricing, 2 * fraction_count + 512);
+    const admission_level closed = level_at(pricing, 4 * fraction_count + 512);
     for (int i = 0; i < 20; ++i)
     {
         table.observe_root(menu, "/a/x", {open, closed}, true);
@@ -75,11 +75,38 @@
     cr_assert_not(admits(table, 520, 2, 1));
     cr_assert(admits(table, 520, 2, 1, "/b/1"));
     const auto refusal =
-        std::get<root_refused>(table.decide(0, priority{9}, menu, "/a/2?q=1", at(1)));
+        std::get<root_refused>(table.decide(0, {priority{9}}, menu, "/a/2?q=1", at(1)));
     cr_assert(refusal.service == pricing);
     cr_assert_not(refusal.entry);
 }
 
+// Guards against a resend that takes the place of a new request of its priority, and
+// against one that comes after lower priorities.
+Test(overload_pressure, resends_come_after_new_requests)
+{
+    pressure_table table;
+    table.observe({level_at(menu, 9 * fraction_count + 256)}, at(0));
+    const auto refused = [&](const root_class& of, std::uint16_t fraction)
+    {
+        return std::holds_alternative<root_refused>(
+            table.decide(fraction, of, menu, "/a", at(1)));
+    };
+    cr_assert_not(refused({priority{3}, true}, 1'000));
+    cr_assert_not(refused({priority{4}, false}, 1'000));
+    cr_assert_not(refused({priority{4}, true}, 200));
+    cr_assert(refused({priority{4}, true}, 300));
+    cr_assert(refused({priority{5}, false}, 0));
+}
+
+// Guards against an age that hides how old a level is.
+Test(overload_pressure, levels_have_the_age_of_their_report)
+{
+    pressure_table table;
+    table.observe({level_at(menu, 100)}, at(0));
+    table.observe({level_at(menu, 100)}, at(40));
+    cr_assert_eq(table.levels(at(100)).at(0).age.count(), 60);
+}
+
 // Guards against one server's level that stands for the whole service.
 Test(overload_pressure, combines_servers_by_their_replies)
 {
@@ -144,8 +171,8 @@
     {
         for (int i = 0; i < 100; ++i)
         {
-            level.admit(priority{0}, static_cast<std::uint16_t>(i * 10));
-            level.admit(priority{9}, static_cast<std::uint16_t>(i * 10));
+            level.admit({priority{0}}, static_cast<std::uint16_t>(i * 10));
+            level.admit({priority{9}}, static_cast<std::uint16_t>(i * 10));
         }
         queue_window seen;
         seen.started = 60;
@@ -157,8 +184,8 @@
         level.update(seen, at(window * 50));
         if (window < 20)
         {
-            cr_assert_geq(level.position(), fraction_count);
+            cr_assert_geq(level.position(), top_position);
         }
     }
-    cr_assert_lt(level.position(), fraction_count);
+    cr_assert_lt(level.position(), top_position);
 }
--- a/src/overload/quarantine.cpp
+++ b/src/overload/quarantine.cpp
@@ -5,9 +5,18 @@
 #include <mutex>
 #include <unordered_map>
 
+#include "fescueridge/base/random.hpp"
+
 namespace fescueridge
 {
 
+fingerprint fingerprint_of(const service_name& service, const std::string& method,
+                           const std::string& path, const std::string& body)
+{
+    const std::uint64_t line = stable_hash(service.get() + '\n' + method + '\n' + path);
+    return fingerprint(stable_hash(body, line));
+}
+
 namespace
 {
 
--- a/src/overload/retry.cpp
+++ b/src/overload/retry.cpp
@@ -100,11 +100,16 @@
         return shards[std::hash<root_id>{}(root) % shard_count];
     }
 
+    static bool forgotten(const entry& known, time_point now)
+    {
+        return !known.running && now - known.ended >= memory;
+    }
+
     static void expire(shard& part, time_point now)
     {
         for (auto it = part.roots.begin(); it != part.roots.end();)
         {
-            const bool old = !it->second.running && now - it->second.ended >= memory;
+            const bool old = forgotten(it->second, now);
             it = old ? part.roots.erase(it) : std::next(it);
         }
     }
@@ -144,9 +149,7 @@
     const auto found = part.roots.find(root);
     if (found != part.roots.end())
     {
-        const bool forgotten =
-            !found->second.running && now - found->second.ended >= memory;
-        if (!forgotten)
+        if (!impl::forgotten(found->second, now))
         {
             return impl::resume(found->second);
         }
@@ -165,6 +168,14 @@
     return new_root{full};
 }
 
+bool root_ledger::knows(const root_id& root, time_point now) const
+{
+    auto& part = impl_->shard_of(root);
+    const std::lock_guard lock(part.mutex);
+    const auto found = part.roots.find(root);
+    return found != part.roots.end() && !impl::forgotten(found->second, now);
+}
+
 void root_ledger::close(const root_id& root, retry_allowance left, bool ran,
                         time_point now)
 {
--- a/src/sheet/explain.cpp
+++ b/src/sheet/explain.cpp
@@ -130,7 +130,7 @@
                        parts.tm_sec);
 }
 
-std::string describe_level(const admission_level& level)
+std::string describe_level(const admission_level& level, bool classes)
 {
     const int cut = std::min<int>(level.cut_priority, lowest_priority + 1);
     const std::string service = detail::printable(level.service.get());
@@ -140,11 +140,30 @@
                            service);
     }
     const double percent = 100.0 * level.cut_fraction / cut_fraction_steps;
-    const std::string whole =
-        cut == 0 ? "" : fmt::format("all calls of a priority below {} and ", cut);
-    return fmt::format(
-        " At that moment service \"{}\" admitted {}{:.0f}% of the calls of priority {}.",
-        service, whole, percent, cut);
+    const std::string above =
+        cut == 0 ? "" : fmt::format("all calls of a priority below {}", cut);
+    std::string part =
+        fmt::format("{}{:.0f}% of the calls", cut == 0 ? "" : " and ", percent);
+    if (classes)
+    {
+        part = cut == 0 ? "" : ", ";
+        part += level.cut_resends
+                    ? fmt::format("all new requests and {:.0f}% of the resends", percent)
+                    : fmt::format("{:.0f}% of the new requests and no resends", percent);
+    }
+    return fmt::format(" At that moment service \"{}\" admitted {}{} of priority {}.",
+                       service, above, part, cut);
+}
+
+/// Returns a sentence on the root class of a resend whose class decided: the level cuts
+/// its priority.
+std::string describe_class(const refusal_record& record)
+{
+    const bool decided =
+        record.resend.value_or(false) && record.level->cut_priority == record.rank.get();
+    return decided ? " The call counted as a resend; resends come after new requests of "
+                     "the same priority."
+                   : "";
 }
 
 std::string describe_rule(const refusal_record& record)
@@ -192,7 +211,8 @@
                         record.rank.get(), lowest_priority);
     if (record.level)
     {
-        text += describe_level(*record.level);
+        text += describe_level(*record.level, record.resend.has_value());
+        text += describe_class(record);
     }
     return fmt::format("{}\n{}\n{}\n", text, describe_rule(record),
                        describe_outcome(record, reason.next));
--- a/src/sheet/explain_test.cpp
+++ b/src/sheet/explain_test.cpp
@@ -38,7 +38,8 @@
     record.domain = domain_name("north");
     record.node = node_id("n-17");
     record.wall_ms = 1'764'824'400'123;
-    record.level = admission_level{service_name("price-register"), 2, 256};
+    record.level = admission_level{service_name("price-register"), 2, 256, false};
+    record.resend = false;
     return record;
 }
 
@@ -88,6 +89,36 @@
     }
 }
 
+// Guards against an explanation that blames the level's fraction when the class decided,
+// and against naming the class when it did not.
+Test(explain, resend_after_new_requests)
+{
+    refusal_record record = sample_record();
+    record.level->cut_priority = 4;
+    cr_expect(mentions(explain(record), "25% of the new requests and no resends"));
+    cr_expect(!mentions(explain(record), "counted as a resend"));
+    record.resend = true;
+    cr_expect(mentions(explain(decode_token(encode_token(record))),
+                       "resends come after new requests of the same priority"));
+    record.level->cut_resends = true;
+    cr_expect(mentions(explain(decode_token(encode_token(record))),
+                       "all new requests and 25% of the resends of priority 4"));
+    record.level->cut_priority = 2;
+    cr_expect(!mentions(explain(record), "resends come after"));
+}
+
+// Guards against tokens of before the root classes that can no longer be explained, or
+// that are explained with classes which their node did not have.
+Test(explain, token_without_root_class)
+{
+    const std::string text = explain(decode_token(
+        "jgEHAQN4KnJ1bGUsYXBwLHRpbGwtcHJpY2luZyw0LDEwMCwsLCxib29raW5nIGFwcHNvdm"
+        "VybG9hZF9kb3duc3RyZWFtZ25vdF9ydW5sdGlsbC1wcmljaW5nY2FwcARlbm9ydGhkbi0x"
+        "NxsAAAGa57tA-4NucHJpY2UtcmVnaXN0ZXIEGQEAfCbJyQ"));
+    cr_expect(mentions(text, "below 4 and 25% of the calls of priority 4."));
+    cr_expect(!mentions(text, "resend"));
+}
+
 // Guards against telling a caller that a call did not run when this is not known.
 Test(explain, unknown_outcome)
 {
@@ -158,7 +189,9 @@
     cr_expect_eq(fault_of(""), token_fault::not_base64url);
     cr_expect_eq(fault_of("no token!"), token_fault::not_base64url);
     cr_expect_eq(fault_of("AAAA"), token_fault::bad_checksum);
-    cr_expect_eq(fault_of(token.substr(0, token.size() - 4)), token_fault::bad_checksum);
+    // Cut after a whole group of four characters, so that the rest is valid base64url.
+    const std::size_t groups = token.size() / 4;
+    cr_expect_eq(fault_of(token.substr(0, 4 * (groups - 1))), token_fault::bad_checksum);
     cr_expect_eq(fault_of(std::string(max_token_bytes + 1, 'A')), token_fault::too_long);
 }
 
--- a/src/sheet/operator_api.cpp
+++ b/src/sheet/operator_api.cpp
@@ -127,7 +127,8 @@
     using t = service_pressure;
     return std::make_tuple(
         field("service", &t::service), field("cut_priority", &t::cut_priority),
-        field("cut_fraction", &t::cut_fraction), field("age_ms", &t::age_ms));
+        field("cut_fraction", &t::cut_fraction), field("cut_resends", &t::cut_resends),
+        field("age_ms", &t::age_ms));
 }
 
 constexpr auto fields_of(const pressure_view* /*type*/)
--- a/src/sheet/token.cpp
+++ b/src/sheet/token.cpp
@@ -18,9 +18,10 @@
 
 // First element of a token. A later layout takes another number, so that old tokens stay
 // readable.
-constexpr std::uint64_t token_layout = 1;
-constexpr std::size_t field_count = 14;
-constexpr std::size_t level_field_count = 3;
+// Layout 1 has no root class.
+constexpr std::uint64_t token_layout = 2;
+constexpr std::size_t field_count = 15;
+constexpr std::size_t level_field_count = 4;
 constexpr std::size_t checksum_bytes = 4;
 
 std::string checksum(std::string_view bytes)
@@ -45,8 +46,8 @@
     {
         return json::array();
     }
-    return json::array(
-        {cut(level->service.get()), level->cut_priority, level->cut_fraction});
+    return json::array({cut(level->service.get()), level->cut_priority,
+                        level->cut_fraction, level->cut_resends ? 1U : 0U});
 }
 
 /// Reads the elements of an array in order and checks their types.
@@ -90,26 +91,28 @@
     std::size_t at_ = 0;
 };
 
-std::optional<admission_level> read_level(const json& value)
+std::optional<admission_level> read_level(const json& value, bool classes)
 {
     array_reader::require(value.is_array());
     if (value.empty())
     {
         return std::nullopt;
     }
-    array_reader reader(value, level_field_count);
+    array_reader reader(value, level_field_count - (classes ? 0 : 1));
     admission_level level;
     level.service = service_name(reader.text());
     level.cut_priority = static_cast<std::uint8_t>(reader.number(lowest_priority + 1));
     level.cut_fraction = static_cast<std::uint16_t>(reader.number(max_cut_fraction));
+    level.cut_resends = classes && reader.number(1) == 1;
     return level;
 }
 
 refusal_record read_record(const json& document)
 {
     constexpr auto any = std::numeric_limits<std::uint64_t>::max();
-    array_reader reader(document, field_count);
-    array_reader::require(reader.number(any) == token_layout);
+    const bool classes = document.is_array() && document.size() == field_count;
+    array_reader reader(document, field_count - (classes ? 0 : 1));
+    array_reader::require(reader.number(any) == token_layout - (classes ? 0 : 1));
     refusal_record record;
     record.version = sheet_version(reader.number(any));
     record.content_hash = reader.number(any);
@@ -127,7 +130,11 @@
     record.domain = domain_name(reader.text());
     record.node = node_id(reader.text());
     record.wall_ms = static_cast<std::int64_t>(reader.number(max_wall_ms));
-    record.level = read_level(reader.next());
+    record.level = read_level(reader.next(), classes);
+    if (classes)
+    {
+        record.resend = reader.number(1) == 1;
+    }
     return record;
 }
 
@@ -144,12 +151,12 @@
     const std::int64_t highest = max_wall_ms;
     const auto wall_ms =
         static_cast<std::uint64_t>(std::clamp<std::int64_t>(record.wall_ms, 0, highest));
-    const json document =
-        json::array({token_layout, record.version.get(), record.content_hash, record.row,
-                     record.row_text, std::string(to_string(record.reason)),
-                     std::string(to_string(record.result)), cut(record.service.get()),
-                     cut(record.caller.get()), rank, cut(record.domain.get()),
-                     cut(record.node.get()), wall_ms, to_array(record.level)});
+    const json document = json::array(
+        {token_layout, record.version.get(), record.content_hash, record.row,
+         record.row_text, std::string(to_string(record.reason)),
+         std::string(to_string(record.result)), cut(record.service.get()),
+         cut(record.caller.get()), rank, cut(record.domain.get()), cut(record.node.get()),
+         wall_ms, to_array(record.level), record.resend.value_or(false) ? 1U : 0U});
     const std::vector<std::uint8_t> cbor = json::to_cbor(document);
     const std::string bytes(cbor.begin(), cbor.end());
     return detail::to_base64url(bytes + checksum(bytes));
--- a/testsuite/tool_operator_port/script.py
+++ b/testsuite/tool_operator_port/script.py
@@ -65,7 +65,7 @@
                     )
                 ],
                 "GET /v1/members": [{"members": []}],
-                "GET /v1/pressure": [{"services": [{"service": "till-pricing", "cut_priority": 4, "cut_fraction": 512, "age_ms": 30}]}],
+                "GET /v1/pressure": [{"services": [{"service": "till-pricing", "cut_priority": 4, "cut_fraction": 512, "cut_resends": False, "age_ms": 30}]}],
                 "POST /v1/drain": [{"state": "draining", "in_flight": 3}],
             },
             # Sees the other failure domain as unreachable.
