Record small changes of the sheet as differences in the log

A change of one row appended the whole sheet to the stream `config`, and each reader read it whole.

The node that submits now appends `submit_delta` when it has the base in force and the difference is smaller than half of the sheet. Log order decides as before, on the base version alone: a difference that does not apply still counts as a version, so all readers agree on versions. A reader that cannot apply one reports `sheet_difference_refused`, puts nothing in force and goes on from a carry or a whole sheet of a peer. If no node can apply it, an operator whose next submit loses is told the version and submits on it. Skipping such a record was ruled out: a reader with a wrong base would then number versions differently from the others.

A carry is also due after 1,000 accepted differences, and holds the author. Carries without an author are still read.

Unit tests: log order, lost answers, another base, carries in mid-stream, the carry after 1,000 differences, bounds of the history.

--- a/src/include/fescueridge/state/config_follower.hpp
+++ b/src/include/fescueridge/state/config_follower.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <thread>
 #include <variant>
+#include <vector>
 
 #include "fescueridge/base/random.hpp"
 #include "fescueridge/state/carry_timer.hpp"
@@ -22,6 +23,8 @@
     sheet_version version;
     log_offset offset;
     std::string content;
+    std::string author{};            ///< Empty if not known.
+    std::vector<sheet_step> steps{}; ///< Lead to this version from one in force before.
 };
 
 struct config_follower_options
@@ -37,7 +40,8 @@
     /// A new version is in force; versions only rise. Calls do not overlap; the handler
     /// must not call offer().
     std::function<void(const sheet_in_force&)> changed;
-    /// A fault of the log or a malformed record; name is a stable event name.
+    /// A fault of the log, a malformed record or a difference that does not apply; name
+    /// is a stable event name.
     std::function<void(const std::string& name, const std::string& reason)> fault;
 };
 
@@ -82,7 +86,13 @@
     void publish();
     void carry_if_due();
     void report(const std::string& name, const std::string& reason);
-    bool append_submit(const submit_record& record);
+    void note_version(sheet_version before);
+    void put_in_force(sheet_in_force sheet);
+    config_record make_submit(const std::string& id, sheet_version base,
+                              const std::string& author,
+                              const std::string& content) const;
+    submit_decision append_and_wait(const std::string& id, const config_record& record);
+    bool append_submit(const config_record& record);
     void update_following(int waiting_change);
 
     log_service& log_;
@@ -94,6 +104,8 @@
     mutable std::mutex mutex_;
     std::condition_variable changed_;
     config_state state_;
+    sheet_history log_steps_; ///< Of the versions that the log gave.
+    std::optional<std::string> difference_problem_;
     std::optional<sheet_in_force> in_force_;
     carry_timer carry_timer_;
     bool caught_up_ = false;
--- a/src/include/fescueridge/state/config_state.hpp
+++ b/src/include/fescueridge/state/config_state.hpp
@@ -9,6 +9,8 @@
 
 #include "fescueridge/base/types.hpp"
 #include "fescueridge/state/carried_stream.hpp"
+#include "fescueridge/state/content_difference.hpp"
+#include "fescueridge/state/sheet_history.hpp"
 
 namespace fescueridge
 {
@@ -22,16 +24,27 @@
     std::string content;
 };
 
+/// Proposes a sheet by its difference from the content of the base version.
+struct submit_delta_record
+{
+    std::string submit_id;
+    sheet_version base;
+    std::string author;
+    content_difference difference;
+};
+
 /// Repeats the current sheet: its version after every record below `as_of`.
 struct sheet_carry_record
 {
     sheet_version version;
     log_offset as_of;
     std::string content;
+    std::string author{}; ///< Of the version; empty in records of older nodes.
 };
 
 /// A record of the stream `config`.
-using config_record = std::variant<submit_record, sheet_carry_record>;
+using config_record =
+    std::variant<submit_record, sheet_carry_record, submit_delta_record>;
 
 std::string encode_config_record(const config_record& record);
 
@@ -76,6 +89,28 @@
 
     sheet_version version() const noexcept { return version_; }
     const std::string& content() const noexcept { return content_; }
+    const std::string& author() const noexcept { return author_; }
+
+    /// Returns false while a difference could not be applied: then the version is known
+    /// and its content is not.
+    bool has_content() const noexcept { return problem_.empty(); }
+
+    /// Tells why the content of the version is not known.
+    const std::string& problem() const noexcept { return problem_; }
+
+    /// Takes the content of the current version if it is not known.
+    void supply(sheet_version version, const std::string& content,
+                const std::string& author);
+
+    /// Returns the step that made the current version; null if a whole sheet made it.
+    const sheet_step* last_step() const noexcept
+    {
+        return last_step_ ? &*last_step_ : nullptr;
+    }
+
+    /// Returns how many accepted differences a reader replays that starts from the latest
+    /// carry.
+    std::size_t differences_to_replay() const noexcept { return replayed_.size(); }
 
     /// Returns the first decision on a submit id.
     submit_decision result(const std::string& submit_id) const;
@@ -89,10 +124,20 @@
     // Operators ask for results within seconds; 13,000 changes a day at the design size.
     static constexpr std::size_t kept_results = 4096;
 
-    void decide(const submit_record& submit);
+    void take(const log_record& raw, const submit_record& submit);
+    void take(const log_record& raw, const submit_delta_record& submit);
+    void take(const log_record& raw, const sheet_carry_record& carry);
+    bool decide(const std::string& submit_id, sheet_version base,
+                const std::string& author);
+    void keep_result(const std::string& submit_id, submit_decision decision);
+    void apply_to_content(const content_difference& difference);
 
     sheet_version version_{0};
     std::string content_;
+    std::string author_;
+    std::string problem_;
+    std::optional<sheet_step> last_step_;
+    std::deque<log_offset> replayed_;
     std::map<std::uint64_t, winner> winners_;
     std::map<std::string, submit_decision> results_;
     std::deque<std::string> result_order_;
--- /dev/null
+++ b/src/state/config_delta_test.cpp
@@ -0,0 +1,260 @@
+#include <atomic>
+#include <criterion/criterion.h>
+#include <mutex>
+#include <random>
+#include <thread>
+
+#include "fescueridge/platform/memory_log_service.hpp"
+#include "fescueridge/state/config_follower.hpp"
+
+using namespace fescueridge;
+
+namespace
+{
+
+constexpr milliseconds timeout{500};
+
+template <class Predicate>
+bool eventually(Predicate&& predicate)
+{
+    const time_point deadline = clock::now() + milliseconds(5'000);
+    while (!predicate())
+    {
+        if (clock::now() > deadline)
+        {
+            return false;
+        }
+        std::this_thread::sleep_for(milliseconds(2));
+    }
+    return true;
+}
+
+std::string sheet_of(const std::string& mark)
+{
+    std::string content;
+    for (int i = 0; i < 40; ++i)
+    {
+        content += "row," + std::to_string(i) + (i == 20 ? mark : "") + "\n";
+    }
+    return content;
+}
+
+log_record record_at(std::uint64_t offset, const config_record& record)
+{
+    return {log_offset(offset), static_cast<std::int64_t>(offset) * 10,
+            encode_config_record(record)};
+}
+
+submit_delta_record delta_of(const std::string& id, std::uint64_t base,
+                             const std::string& from, const std::string& to)
+{
+    return {id, sheet_version(base), "author-" + id,
+            find_difference(sheet_of(from), sheet_of(to))};
+}
+
+submit_record whole_of(const std::string& id, std::uint64_t base)
+{
+    return {id, sheet_version(base), "author-" + id, sheet_of(id)};
+}
+
+config_follower_options fast_options()
+{
+    config_follower_options options;
+    options.follow.wait = milliseconds(50);
+    options.follow.min_backoff = milliseconds(5);
+    options.follow.max_backoff = milliseconds(40);
+    return options;
+}
+
+template <class Record>
+std::size_t count_of(const memory_log_service& log)
+{
+    std::size_t count = 0;
+    for (const log_record& record : log.records("config"))
+    {
+        const config_record decoded = decode_config_record(record.data);
+        count += std::holds_alternative<Record>(decoded) ? 1 : 0;
+    }
+    return count;
+}
+
+} // namespace
+
+// Guards against a difference that is decided otherwise than a whole sheet: by log order,
+// with the loser told the winner, and once for a repeated id.
+Test(config_delta, log_order_decides_differences)
+{
+    config_state state;
+    state.add(record_at(0, whole_of("a", 0)));
+    state.add(record_at(1, delta_of("b", 1, "a", "b")));
+    state.add(record_at(2, delta_of("c", 1, "a", "c")));
+    state.add(record_at(3, delta_of("b", 1, "a", "b")));
+    const config_table& table = state.table();
+    cr_assert(table.version() == sheet_version(2));
+    cr_assert(table.content() == sheet_of("b"));
+    cr_assert_str_eq(table.author().c_str(), "author-b");
+    cr_assert(std::holds_alternative<submit_accepted>(table.result("b")));
+    const auto lost = std::get<submit_lost>(table.result("c"));
+    cr_assert_str_eq(lost.winner_author.c_str(), "author-b");
+    cr_assert_eq(table.differences_to_replay(), 1);
+    cr_assert(table.last_step()->version == sheet_version(2));
+}
+
+// Guards against a result that does not belong to the version: the version counts, and
+// the content stays unknown until a whole sheet of that version.
+Test(config_delta, difference_of_another_base_is_not_applied)
+{
+    config_state state;
+    state.add(record_at(0, whole_of("a", 0)));
+    state.add(record_at(1, delta_of("b", 1, "other", "b")));
+    cr_assert(state.table().version() == sheet_version(2));
+    cr_assert(!state.table().has_content());
+    state.add(record_at(2, delta_of("c", 2, "b", "c")));
+    cr_assert(!state.table().has_content(), "the base of this one is not known either");
+    state.add(record_at(
+        3, sheet_carry_record{sheet_version(2), log_offset(2), sheet_of("b"), "ben"}));
+    cr_assert(!state.table().has_content(), "a carry of an older version");
+    state.add(record_at(
+        4, sheet_carry_record{sheet_version(3), log_offset(3), sheet_of("c"), "cleo"}));
+    cr_assert(state.table().has_content());
+    cr_assert(state.table().content() == sheet_of("c"));
+    cr_assert_str_eq(state.table().author().c_str(), "cleo");
+}
+
+// Guards against a reader in mid-stream that applies differences to the wrong base, and
+// one that loses the author of a carried sheet.
+Test(config_delta, reader_in_mid_stream_replays_from_the_carry)
+{
+    config_state state;
+    state.restart(log_offset(5));
+    state.add(record_at(5, delta_of("c", 2, "b", "c")));
+    state.add(record_at(
+        6, sheet_carry_record{sheet_version(2), log_offset(5), sheet_of("b"), "ben"}));
+    cr_assert(state.complete());
+    cr_assert(state.table().version() == sheet_version(3));
+    cr_assert(state.table().content() == sheet_of("c"));
+    config_state carried;
+    carried.restart(log_offset(6));
+    carried.add(record_at(
+        6, sheet_carry_record{sheet_version(2), log_offset(6), sheet_of("b"), "ben"}));
+    cr_assert_str_eq(carried.table().author().c_str(), "ben");
+}
+
+// Guards against a reader that puts a wrong result in force or says nothing about it, and
+// one that does not go on from a whole sheet of a peer.
+Test(config_delta, refused_difference_is_reported_and_repaired_by_a_peer)
+{
+    memory_log_service log;
+    std::mutex mutex;
+    std::vector<std::string> faults;
+    config_follower_handlers handlers;
+    handlers.fault = [&](const std::string& name, const std::string&)
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        faults.push_back(name);
+    };
+    config_follower follower(log, fast_options(), handlers);
+    follower.set_following(true);
+    log.append("config", encode_config_record(whole_of("a", 0)), timeout);
+    cr_assert(eventually([&] { return follower.current().has_value(); }));
+    log.append("config", encode_config_record(delta_of("b", 1, "other", "b")), timeout);
+    cr_assert(eventually(
+        [&]
+        {
+            const std::lock_guard<std::mutex> lock(mutex);
+            return faults == std::vector<std::string>{"sheet_difference_refused"};
+        }));
+    cr_assert(follower.current()->version == sheet_version(1));
+    cr_assert(follower.offer({sheet_version(2), log_offset(2), sheet_of("b")}));
+    log.append("config", encode_config_record(delta_of("c", 2, "b", "c")), timeout);
+    cr_assert(
+        eventually([&] { return follower.current()->version == sheet_version(3); }));
+    cr_assert(follower.current()->content == sheet_of("c"));
+}
+
+// Guards against small changes that are recorded whole, large ones that are recorded as
+// differences, and answers that are lost on the way.
+Test(config_delta, submit_writes_the_smaller_record)
+{
+    memory_log_service log;
+    std::mutex mutex;
+    std::vector<sheet_step> steps;
+    config_follower_handlers handlers;
+    handlers.changed = [&](const sheet_in_force& sheet)
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        steps.insert(steps.end(), sheet.steps.begin(), sheet.steps.end());
+    };
+    config_follower follower(log, fast_options(), handlers);
+    const auto submit = [&](const std::string& content, std::uint64_t base)
+    {
+        const submit_decision result =
+            follower.submit(content, sheet_version(base), "ana");
+        cr_assert(std::get<submit_accepted>(result).version == sheet_version(base + 1));
+        cr_assert(eventually(
+            [&] { return follower.current()->version == sheet_version(base + 1); }));
+        cr_assert(follower.current()->content == content);
+    };
+    submit(sheet_of("a"), 0);
+    log.set_append_faults([] { return memory_log_service::append_fault::lost_answer; });
+    submit(sheet_of("b"), 1);
+    log.set_append_faults({});
+    submit(sheet_of("c"), 2);
+    submit("short\n", 3);
+    cr_assert_eq(count_of<submit_record>(log), 2);
+    cr_assert_geq(count_of<submit_delta_record>(log), 2);
+    const std::lock_guard<std::mutex> lock(mutex);
+    cr_assert_eq(steps.size(), 2);
+    cr_assert(steps[0].version == sheet_version(2));
+    cr_assert_str_eq(steps[1].author.c_str(), "ana");
+    cr_assert(apply_difference(sheet_of("b"), decode_difference(steps[1].difference)) ==
+              sheet_of("c"));
+}
+
+// Guards against a fresh reader that replays differences without bound.
+Test(config_delta, carry_is_due_after_many_differences)
+{
+    memory_log_service log;
+    config_follower_options options = fast_options();
+    options.retention = milliseconds(4'000);
+    config_follower follower(log, options, {});
+    log.append("config", encode_config_record(whole_of("0", 0)), timeout);
+    for (std::uint64_t i = 1; i <= 999; ++i)
+    {
+        log.append("config",
+                   encode_config_record(delta_of(
+                       std::to_string(i), i, std::to_string(i - 1), std::to_string(i))),
+                   timeout);
+    }
+    follower.set_following(true);
+    cr_assert(eventually([&] { return follower.caught_up(); }));
+    cr_assert_eq(count_of<sheet_carry_record>(log), 0);
+    log.append("config", encode_config_record(delta_of("1000", 1000, "999", "1000")),
+               timeout);
+    cr_assert(eventually([&] { return count_of<sheet_carry_record>(log) == 1; }));
+}
+
+// Guards against a history that grows without bound or that has a gap.
+Test(config_delta, history_is_bounded_and_without_gaps)
+{
+    sheet_history history;
+    cr_assert(!history.since(sheet_version(0)));
+    const auto add = [&](std::uint64_t version, std::size_t bytes)
+    {
+        history.add({sheet_version(version), log_offset(0), "", std::string(bytes, 'x')});
+    };
+    for (std::uint64_t version = 1; version <= 1200; ++version)
+    {
+        add(version, 100);
+    }
+    cr_assert(!history.since(sheet_version(199)));
+    cr_assert_eq(history.since(sheet_version(200))->size(), 1000);
+    cr_assert_eq(history.since(sheet_version(1199))->size(), 1);
+    cr_assert(!history.since(sheet_version(1200)));
+    add(1201, sheet_history::max_bytes - 150);
+    cr_assert_eq(history.since(sheet_version(1199))->size(), 2);
+    cr_assert(!history.since(sheet_version(1198)));
+    add(1203, 10);
+    cr_assert(!history.since(sheet_version(1201)), "version 1202 is missing");
+    cr_assert_eq(history.since(sheet_version(1202))->size(), 1);
+}
--- a/src/state/config_follower.cpp
+++ b/src/state/config_follower.cpp
@@ -14,6 +14,10 @@
 // append.
 constexpr milliseconds read_back_time{1'000};
 
+// A fresh reader replays at most about this many differences after the carry; see section
+// 6.1 of the design.
+constexpr std::size_t max_replayed_differences = 1'000;
+
 follow_options paused(follow_options options)
 {
     options.paused = true;
@@ -71,12 +75,26 @@
         {
             return false;
         }
-        in_force_ = sheet;
+        put_in_force(sheet);
+        state_.table().supply(sheet.version, sheet.content, sheet.author);
     }
     publish();
     return true;
 }
 
+/// Replaces the sheet in force. The steps to a version that was not published yet are
+/// kept; the caller holds the lock.
+void config_follower::put_in_force(sheet_in_force sheet)
+{
+    if (in_force_ && !in_force_->steps.empty() && !sheet.steps.empty() &&
+        in_force_->version.get() + 1 == sheet.steps.front().version.get())
+    {
+        sheet.steps.insert(sheet.steps.begin(), in_force_->steps.begin(),
+                           in_force_->steps.end());
+    }
+    in_force_ = std::move(sheet);
+}
+
 std::optional<sheet_in_force> config_follower::current() const
 {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -92,24 +110,35 @@
 void config_follower::on_page(const log_page& page)
 {
     std::vector<config_state::malformed> problems;
+    std::optional<std::string> difference_problem;
     {
         const std::lock_guard<std::mutex> lock(mutex_);
         for (const log_record& record : page.records)
         {
+            const sheet_version before = state_.table().version();
             if (auto problem = state_.add(record))
             {
                 problems.push_back(std::move(*problem));
             }
+            note_version(before);
+        }
+        if (in_force_)
+        {
+            state_.table().supply(in_force_->version, in_force_->content,
+                                  in_force_->author);
         }
+        difference_problem.swap(difference_problem_);
         const bool at_end = page.next == state_.next();
         caught_up_ = caught_up_ || (at_end && state_.complete());
         const sheet_version version = state_.table().version();
         const sheet_version known = in_force_ ? in_force_->version : sheet_version(0);
         // A reader that is still catching up must not put an old version into force.
         // spec/sheet.pml, label adopt: the version in force never goes down.
-        if (caught_up_ && at_end && version > known)
+        if (caught_up_ && at_end && version > known && state_.table().has_content())
         {
-            in_force_ = sheet_in_force{version, state_.next(), state_.table().content()};
+            put_in_force({version, state_.next(), state_.table().content(),
+                          state_.table().author(),
+                          log_steps_.since(known).value_or(std::vector<sheet_step>())});
         }
         changed_.notify_all();
     }
@@ -118,10 +147,35 @@
         report("config_record_malformed",
                fmt::format("offset {}: {}", problem.offset.get(), problem.reason));
     }
+    if (difference_problem)
+    {
+        report("sheet_difference_refused", *difference_problem);
+    }
     publish();
     carry_if_due();
 }
 
+/// Keeps the step to a new version, or the reason why it could not be applied.
+void config_follower::note_version(sheet_version before)
+{
+    const config_table& table = state_.table();
+    if (table.version() == before)
+    {
+        return;
+    }
+    if (const sheet_step* step = table.last_step())
+    {
+        log_steps_.add(*step);
+        return;
+    }
+    log_steps_.clear();
+    if (!table.has_content())
+    {
+        difference_problem_ =
+            fmt::format("version {}: {}", table.version().get(), table.problem());
+    }
+}
+
 void config_follower::on_truncated(log_offset oldest)
 {
     {
@@ -143,6 +197,11 @@
         {
             handlers_.changed(*sheet);
         }
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (in_force_->version == published_)
+        {
+            in_force_->steps.clear();
+        }
     }
 }
 
@@ -152,13 +211,16 @@
     sheet_carry_record carry;
     {
         const std::lock_guard<std::mutex> lock(mutex_);
-        const bool needed =
-            caught_up_ && state_.needs_carry(wall_clock_ms(), options_.retention);
+        const config_table& table = state_.table();
+        const bool many = options_.retention.count() > 0 &&
+                          table.differences_to_replay() >= max_replayed_differences;
+        const bool old = state_.needs_carry(wall_clock_ms(), options_.retention);
+        const bool needed = caught_up_ && table.has_content() && (many || old);
         if (!carry_timer_.is_due(needed, clock::now(), options_.retention, random_))
         {
             return;
         }
-        carry = {state_.table().version(), state_.next(), state_.table().content()};
+        carry = {table.version(), state_.next(), table.content(), table.author()};
     }
     try
     {
@@ -180,7 +242,7 @@
 }
 
 /// Returns true if the append was answered, false if it may have taken effect.
-bool config_follower::append_submit(const submit_record& record)
+bool config_follower::append_submit(const config_record& record)
 {
     try
     {
@@ -194,22 +256,41 @@
     }
 }
 
+/// Returns a difference if this node knows the base and the difference is smaller than
+/// half of the sheet, else the whole sheet; the caller holds the lock.
+config_record config_follower::make_submit(const std::string& id, sheet_version base,
+                                           const std::string& author,
+                                           const std::string& content) const
+{
+    if (in_force_ && in_force_->version == base)
+    {
+        content_difference difference = find_difference(in_force_->content, content);
+        if (encode_difference(difference).size() < content.size() / 2)
+        {
+            return submit_delta_record{id, base, author, std::move(difference)};
+        }
+    }
+    return submit_record{id, base, author, content};
+}
+
 submit_decision config_follower::submit(const std::string& content, sheet_version base,
                                         const std::string& author,
                                         const std::string& submit_id)
 {
-    submit_record record{submit_id, base, author, content};
+    std::string id = submit_id;
+    config_record record;
     {
         const std::lock_guard<std::mutex> lock(mutex_);
-        if (record.submit_id.empty())
+        if (id.empty())
         {
-            record.submit_id = fmt::format("{}-{}", id_prefix_, ++submit_counter_);
+            id = fmt::format("{}-{}", id_prefix_, ++submit_counter_);
         }
-        auto known = state_.table().result(record.submit_id);
+        auto known = state_.table().result(id);
         if (is_decided(known))
         {
             return known;
         }
+        record = make_submit(id, base, author, content);
     }
     struct following_scope
     {
@@ -220,6 +301,12 @@
         }
         ~following_scope() { owner.update_following(-1); }
     } const scope(*this);
+    return append_and_wait(id, record);
+}
+
+submit_decision config_follower::append_and_wait(const std::string& id,
+                                                 const config_record& record)
+{
     const time_point deadline = clock::now() + options_.submit_timeout;
     bool answered = append_submit(record);
     while (true)
@@ -227,14 +314,14 @@
         std::unique_lock<std::mutex> lock(mutex_);
         const auto is_over = [&]
         {
-            return stopping_ || is_decided(state_.table().result(record.submit_id));
+            return stopping_ || is_decided(state_.table().result(id));
         };
         const time_point until =
             answered ? deadline : std::min(deadline, clock::now() + read_back_time);
         changed_.wait_until(lock, until, is_over);
         if (is_over() || clock::now() >= deadline)
         {
-            return state_.table().result(record.submit_id);
+            return state_.table().result(id);
         }
         lock.unlock();
         // spec/sheet.pml, label retry_submit: the same id, so it counts once.
--- a/src/state/config_state.cpp
+++ b/src/state/config_state.cpp
@@ -13,7 +13,8 @@
 enum class record_kind : std::uint8_t
 {
     submit = 1,
-    carry = 2
+    carry = 2,
+    submit_delta = 3
 };
 
 struct encoder
@@ -27,9 +28,17 @@
 
     detail::json operator()(const sheet_carry_record& r) const
     {
-        return detail::json::array({static_cast<unsigned>(record_kind::carry),
-                                    r.version.get(), r.as_of.get(),
-                                    detail::to_binary(r.content)});
+        return detail::json::array(
+            {static_cast<unsigned>(record_kind::carry), r.version.get(), r.as_of.get(),
+             detail::to_binary(r.content), detail::to_binary(r.author)});
+    }
+
+    detail::json operator()(const submit_delta_record& r) const
+    {
+        return detail::json::array({static_cast<unsigned>(record_kind::submit_delta),
+                                    detail::to_binary(r.submit_id), r.base.get(),
+                                    detail::to_binary(r.author),
+                                    detail::to_binary(encode_difference(r.difference))});
     }
 };
 
@@ -60,6 +69,17 @@
         r.version = sheet_version(in.number());
         r.as_of = log_offset(in.number());
         r.content = in.text();
+        r.author = in.at_end() ? std::string() : in.text();
+        in.expect_end();
+        return r;
+    }
+    if (kind == static_cast<unsigned>(record_kind::submit_delta))
+    {
+        submit_delta_record r;
+        r.submit_id = in.text();
+        r.base = sheet_version(in.number());
+        r.author = in.text();
+        r.difference = decode_difference(in.text());
         in.expect_end();
         return r;
     }
@@ -77,38 +97,105 @@
     const auto& sheet = std::get<sheet_carry_record>(carry);
     version_ = sheet.version;
     content_ = sheet.content;
+    author_ = sheet.author;
 }
 
-void config_table::apply(const log_record& /*raw*/, const record_type& record)
+void config_table::supply(sheet_version version, const std::string& content,
+                          const std::string& author)
 {
-    if (const auto* submit = std::get_if<submit_record>(&record))
+    if (version == version_ && !has_content())
     {
-        decide(*submit);
+        content_ = content;
+        author_ = author;
+        problem_.clear();
     }
 }
 
-// spec/sheet.pml, label accept. Only the base version decides: a repeated submit id
-// cannot be accepted twice, because its base is no longer current after the first time. A
-// reader that starts from a carry does not know old ids and must decide alike.
-void config_table::decide(const submit_record& submit)
+void config_table::apply(const log_record& raw, const record_type& record)
+{
+    std::visit([&](const auto& content) { take(raw, content); }, record);
+}
+
+void config_table::take(const log_record& /*raw*/, const submit_record& submit)
 {
-    submit_decision decision;
-    if (submit.base == version_)
+    if (decide(submit.submit_id, submit.base, submit.author))
     {
-        version_ = sheet_version(version_.get() + 1);
         content_ = submit.content;
-        winners_[version_.get()] = {submit.submit_id, submit.author};
-        decision = submit_accepted{version_};
+        problem_.clear();
     }
-    else
+}
+
+void config_table::take(const log_record& raw, const submit_delta_record& submit)
+{
+    if (decide(submit.submit_id, submit.base, submit.author))
     {
-        const auto found = winners_.find(submit.base.get() + 1);
+        replayed_.push_back(raw.offset);
+        apply_to_content(submit.difference);
+        if (has_content())
+        {
+            last_step_ = sheet_step{version_, log_offset(raw.offset.get() + 1),
+                                    submit.author, encode_difference(submit.difference)};
+        }
+    }
+}
+
+void config_table::take(const log_record& /*raw*/, const sheet_carry_record& carry)
+{
+    while (!replayed_.empty() && replayed_.front() < carry.as_of)
+    {
+        replayed_.pop_front();
+    }
+    supply(carry.version, carry.content, carry.author);
+}
+
+// spec/sheet.pml, label apply_difference. The version counts for every reader, since only
+// the base version decides; a reader without the base content does not guess the result.
+void config_table::apply_to_content(const content_difference& difference)
+{
+    if (!has_content())
+    {
+        return;
+    }
+    try
+    {
+        content_ = apply_difference(content_, difference);
+    }
+    catch (const difference_base_error& problem)
+    {
+        problem_ = problem.what();
+    }
+    catch (const difference_result_error& problem)
+    {
+        problem_ = problem.what();
+    }
+}
+
+// spec/sheet.pml, label accept. Only the base version decides: a repeated submit id
+// cannot be accepted twice, because its base is no longer current after the first time. A
+// reader that starts from a carry does not know old ids and must decide alike.
+bool config_table::decide(const std::string& submit_id, sheet_version base,
+                          const std::string& author)
+{
+    if (base != version_)
+    {
+        const auto found = winners_.find(base.get() + 1);
         const winner first = found != winners_.end() ? found->second : winner{};
-        decision = submit_lost{first.id, first.author, version_};
+        keep_result(submit_id, submit_lost{first.id, first.author, version_});
+        return false;
     }
-    if (results_.emplace(submit.submit_id, std::move(decision)).second)
+    version_ = sheet_version(version_.get() + 1);
+    author_ = author;
+    last_step_.reset();
+    winners_[version_.get()] = {submit_id, author};
+    keep_result(submit_id, submit_accepted{version_});
+    return true;
+}
+
+void config_table::keep_result(const std::string& submit_id, submit_decision decision)
+{
+    if (results_.emplace(submit_id, std::move(decision)).second)
     {
-        result_order_.push_back(submit.submit_id);
+        result_order_.push_back(submit_id);
     }
     if (result_order_.size() > kept_results)
     {
