Pass changes of the sheet on as differences

Each change went whole to every node that does not read the log, by a pull from whichever node had the newest version.

A reader of the log now passes the difference on as `sheet_delta` down a tree over the live nodes of its failure domain (the 3 readers are the roots, fan-out 12, 3 levels for 1,380 nodes). A node that lacks the base pulls, and gets the differences it lacks (up to 1,000 or 256 KiB are kept) or the whole sheet, whichever has fewer bytes. Pulls after news by gossip stay as the safety net: they start when the news is 400 ms old, one at a time, at a random peer that has the newest version, own domain first. A node answers pulls with up to 4 MiB/s; who gets no answer asks another node after 1 s. Differences are not passed on when they are more than 8 at once, as after a cut: the nodes below pull.

The author of a version travels with submits, carries, whole sheets and differences, so `GET /v1/sheet` and `fescueridge show` name it. The check of `show` in testsuite/tool_fleet expected no author, which was the fault; it now expects the exact line with the author. /v1/metrics has link_bytes_sent and link_bytes_received.

--- a/src/codec/messages.cpp
+++ b/src/codec/messages.cpp
@@ -29,7 +29,8 @@
     sheet_push,
     demand_report,
     share_grant,
-    strike
+    strike,
+    sheet_delta
 };
 
 json to_binary(const std::string& bytes)
@@ -111,7 +112,7 @@
     json operator()(const sheet_push_message& m) const
     {
         return make(frame_type::sheet_push, m.version.get(), m.offset.get(),
-                    to_binary(m.content));
+                    to_binary(m.content), to_binary(m.author));
     }
 
     json operator()(const demand_report_message& m) const
@@ -129,6 +130,18 @@
         return make(frame_type::strike, to_binary(encode_quarantine_record(m.record)));
     }
 
+    json operator()(const sheet_delta_message& m) const
+    {
+        json steps = json::array();
+        for (const sheet_step& step : m.steps)
+        {
+            steps.push_back(
+                json::array({step.version.get(), step.offset.get(),
+                             to_binary(step.author), to_binary(step.difference)}));
+        }
+        return make(frame_type::sheet_delta, std::move(steps));
+    }
+
 private:
     template <class... Fields>
     json make(frame_type type, Fields&&... fields) const
@@ -336,6 +349,23 @@
     return m;
 }
 
+sheet_delta_message read_sheet_delta(field_reader& in)
+{
+    sheet_delta_message m;
+    for (const json& entry : in.array(1))
+    {
+        field_reader fields(entry);
+        sheet_step step;
+        step.version = sheet_version(fields.unsigned64());
+        step.offset = log_offset(fields.unsigned64());
+        step.author = fields.text();
+        step.difference = fields.text();
+        fields.expect_end();
+        m.steps.push_back(std::move(step));
+    }
+    return m;
+}
+
 link_message read_control_message(frame_type type, field_reader& in)
 {
     constexpr std::int64_t max_32 = std::numeric_limits<std::uint32_t>::max();
@@ -364,6 +394,7 @@
         m.version = sheet_version(in.unsigned64());
         m.offset = log_offset(in.unsigned64());
         m.content = in.text();
+        m.author = in.text();
         return m;
     }
     case frame_type::demand_report:
@@ -382,6 +413,8 @@
         m.lease = milliseconds(in.number<std::int64_t>());
         return m;
     }
+    case frame_type::sheet_delta:
+        return read_sheet_delta(in);
     case frame_type::strike:
         return strike_message{decode_quarantine_record(in.text())};
     default:
--- a/src/codec/messages_test.cpp
+++ b/src/codec/messages_test.cpp
@@ -56,6 +56,25 @@
     cr_assert(m.headers.size() == 1 && m.headers[0].value == "*/*");
 }
 
+// Guards against steps that lose a field or their order, and against a step that is cut
+// short.
+Test(codec_messages, sheet_delta_round_trip)
+{
+    sheet_delta_message m;
+    m.steps = {{sheet_version(7), log_offset(9), "ana", std::string("\x00\xff", 2)},
+               {sheet_version(8), log_offset(12), "", "d"}};
+    const std::string bytes = encode_frame({1, m});
+    const link_frame frame = decode_frame(bytes);
+    const auto& steps = std::get<sheet_delta_message>(frame.message).steps;
+    cr_assert_eq(steps.size(), 2);
+    cr_assert(steps[0].version == sheet_version(7) && steps[0].author == "ana");
+    cr_assert(steps[0].difference == m.steps[0].difference);
+    cr_assert(steps[1].offset == log_offset(12));
+    cr_assert(is_rejected(bytes.substr(0, bytes.size() - 1)));
+    cr_assert(is_rejected("\x83\x0c\x01\x81\x83\x07\x09\x41"));
+    cr_assert(is_rejected("\x83\x0c\x01\x81\x07"));
+}
+
 // Guards against a reply without a reason that decodes as one with a reason.
 Test(codec_messages, reply_round_trip)
 {
--- a/src/include/fescueridge/codec/messages.hpp
+++ b/src/include/fescueridge/codec/messages.hpp
@@ -10,6 +10,7 @@
 #include "fescueridge/base/outcome.hpp"
 #include "fescueridge/base/types.hpp"
 #include "fescueridge/codec/quarantine_record.hpp"
+#include "fescueridge/codec/sheet_step.hpp"
 
 namespace fescueridge
 {
@@ -90,7 +91,8 @@
     std::int64_t sent_ms = 0;
 };
 
-/// Asks for the sheet when the peer has a newer version than `have`.
+/// Asks for what is newer than version `have`: differences, or the whole sheet if the
+/// peer does not have them all or `have` is 0.
 struct sheet_pull_message
 {
     sheet_version have;
@@ -102,6 +104,7 @@
     sheet_version version;
     log_offset offset;
     std::string content;
+    std::string author{};
 };
 
 /// Demand for a limited row of the sheet, seen by the sender.
@@ -126,11 +129,18 @@
     quarantine_record record;
 };
 
+/// The steps from one version of the sheet to a newer one, in order.
+struct sheet_delta_message
+{
+    std::vector<sheet_step> steps;
+};
+
 /// Any message on a link between two nodes.
 using link_message =
     std::variant<hello_message, call_message, reply_message, cancel_message, ping_message,
                  pong_message, sheet_pull_message, sheet_push_message,
-                 demand_report_message, share_grant_message, strike_message>;
+                 demand_report_message, share_grant_message, strike_message,
+                 sheet_delta_message>;
 
 /// A message with the Lamport stamp of its sender.
 struct link_frame
--- a/src/include/fescueridge/node/peer_table.hpp
+++ b/src/include/fescueridge/node/peer_table.hpp
@@ -10,6 +10,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "fescueridge/base/random.hpp"
 #include "fescueridge/base/types.hpp"
 #include "fescueridge/membership/member_record.hpp"
 #include "fescueridge/routing/balancer.hpp"
@@ -69,6 +70,11 @@
     /// Returns the live node with the highest sheet version above `known`, if any.
     std::optional<node_id> holder_of_newer_sheet(sheet_version known) const;
 
+    /// Returns one of the live nodes with the highest sheet version above `known`, if
+    /// any: one in the own failure domain if there is one, else any, chosen at random.
+    std::optional<node_id> choose_sheet_holder(sheet_version known,
+                                               random_engine& random) const;
+
     /// Returns true if a live member other than this node is in the own failure domain.
     bool has_live_neighbour() const;
 
--- a/src/include/fescueridge/node/sheet_holder.hpp
+++ b/src/include/fescueridge/node/sheet_holder.hpp
@@ -14,6 +14,7 @@
 {
     sheet_version version;
     log_offset offset;
+    std::string author; ///< Empty if not known.
     std::shared_ptr<const sheet> rules;
 };
 
@@ -30,7 +31,8 @@
 
     /// Puts a sheet in force if its version is higher. Returns false if it is not, or if
     /// the content is not a valid sheet.
-    bool adopt(sheet_version version, log_offset offset, const std::string& content);
+    bool adopt(sheet_version version, log_offset offset, const std::string& content,
+               const std::string& author = {});
 
 private:
     std::shared_ptr<const sheet_snapshot> current_;
--- a/src/include/fescueridge/state/sheet_history.hpp
+++ b/src/include/fescueridge/state/sheet_history.hpp
@@ -3,23 +3,13 @@
 #include <cstddef>
 #include <deque>
 #include <optional>
-#include <string>
 #include <vector>
 
-#include "fescueridge/base/types.hpp"
+#include "fescueridge/codec/sheet_step.hpp"
 
 namespace fescueridge
 {
 
-/// The difference that makes a version of the version before it.
-struct sheet_step
-{
-    sheet_version version;
-    log_offset offset; ///< Up to which the log decided the version.
-    std::string author;
-    std::string difference; ///< As encode_difference() gives it.
-};
-
 /// The latest steps without a gap, within bounds, for nodes that missed some.
 class sheet_history
 {
@@ -28,7 +18,8 @@
     static constexpr std::size_t max_steps = 1000;
     static constexpr std::size_t max_bytes = std::size_t{256} * 1024;
 
-    /// Adds a step. The steps before it are dropped unless it follows them.
+    /// Adds a step unless it is older than the newest one. The steps before it are
+    /// dropped unless it follows them.
     void add(sheet_step step);
 
     void clear();
--- a/src/include/fescueridge/transport/link_hub.hpp
+++ b/src/include/fescueridge/transport/link_hub.hpp
@@ -104,6 +104,14 @@
     milliseconds open_timeout{1500};
 };
 
+/// Bytes of the encoded frames of all links since the start, without the headers of
+/// websocket and TCP.
+struct link_counters
+{
+    std::uint64_t bytes_sent = 0;
+    std::uint64_t bytes_received = 0;
+};
+
 /// Long-lived links between nodes: accepts them on one endpoint and dials others. All
 /// calls to a peer share one link.
 class link_hub
@@ -142,6 +150,9 @@
     /// Returns all open links.
     std::vector<link_ptr> links() const;
 
+    /// Returns what all links have sent and received.
+    link_counters counters() const noexcept;
+
     /// Closes the listening socket and all links. Waiting dials get null; on_close is not
     /// called for the links.
     void close();
--- a/src/node/node_impl.hpp
+++ b/src/node/node_impl.hpp
@@ -55,6 +55,7 @@
     void take(const link_ptr& from, const cancel_message& cancel);
     void take(const link_ptr& from, const sheet_pull_message& pull);
     void take(const link_ptr& from, const sheet_push_message& push);
+    void take(const link_ptr& from, const sheet_delta_message& delta);
     void take(const link_ptr& from, const demand_report_message& report);
     void take(const link_ptr& from, const share_grant_message& grant);
     void take(const link_ptr& from, const strike_message& strike);
--- a/src/node/node_links.cpp
+++ b/src/node/node_links.cpp
@@ -77,6 +77,11 @@
     sheet_sync_->on_push(push);
 }
 
+void node::impl::take(const link_ptr& from, const sheet_delta_message& delta)
+{
+    sheet_sync_->on_delta(from->peer().node, delta);
+}
+
 void node::impl::take(const link_ptr& from, const demand_report_message& report)
 {
     limits_.on_demand(from->peer().node, report);
--- a/src/node/node_operator.cpp
+++ b/src/node/node_operator.cpp
@@ -58,6 +58,7 @@
         if (const auto snapshot = sheets_.get())
         {
             view.version = snapshot->version.get();
+            view.author = snapshot->author;
             view.content = snapshot->rules->content();
         }
         return view;
@@ -246,6 +247,8 @@
         {"running", load.running},
         {"queued", load.queued},
         {"links", hub_->links().size()},
+        {"link_bytes_sent", hub_->counters().bytes_sent},
+        {"link_bytes_received", hub_->counters().bytes_received},
         {"gossip_bytes_sent", gossip.bytes_sent},
         {"gossip_bytes_received", gossip.bytes_received},
         {"caller_connections", caller_server_->open_connections()},
--- a/src/node/peer_table.cpp
+++ b/src/node/peer_table.cpp
@@ -265,6 +265,38 @@
     return best;
 }
 
+std::optional<node_id> peer_table::choose_sheet_holder(sheet_version known,
+                                                       random_engine& random) const
+{
+    const std::shared_lock lock(mutex_);
+    std::vector<const member_record*> holders;
+    std::pair<sheet_version, bool> best{known, true};
+    for (const member_view& member : members_)
+    {
+        const member_record& record = member.record;
+        if (member.status == liveness::dead)
+        {
+            continue;
+        }
+        const std::pair<sheet_version, bool> rank{record.sheet, record.domain == domain_};
+        if (best < rank)
+        {
+            holders.clear();
+            best = rank;
+        }
+        if (rank == best && record.sheet > known)
+        {
+            holders.push_back(&record);
+        }
+    }
+    if (holders.empty())
+    {
+        return std::nullopt;
+    }
+    std::uniform_int_distribution<std::size_t> choice(0, holders.size() - 1);
+    return holders[choice(random)]->node;
+}
+
 bool peer_table::has_live_neighbour() const
 {
     return live_nodes(domain_).size() > 1;
--- a/src/node/sheet_holder.cpp
+++ b/src/node/sheet_holder.cpp
@@ -17,7 +17,7 @@
 }
 
 bool sheet_holder::adopt(sheet_version version, log_offset offset,
-                         const std::string& content)
+                         const std::string& content, const std::string& author)
 {
     if (version <= this->version())
     {
@@ -30,7 +30,7 @@
         return false;
     }
     auto fresh = std::make_shared<const sheet_snapshot>(
-        sheet_snapshot{version, offset, std::move(*rules)});
+        sheet_snapshot{version, offset, author, std::move(*rules)});
     auto known = get();
     while (!known || known->version < version)
     {
--- a/src/node/sheet_sync.cpp
+++ b/src/node/sheet_sync.cpp
@@ -2,17 +2,59 @@
 
 #include <algorithm>
 
-#include "fescueridge/overload/rendezvous.hpp"
+#include "fescueridge/node/sheet_tree.hpp"
 
 namespace fescueridge
 {
 
+namespace
+{
+
+std::size_t size_of(const std::vector<sheet_step>& steps)
+{
+    std::size_t bytes = 0;
+    for (const sheet_step& step : steps)
+    {
+        bytes += step.author.size() + step.difference.size();
+    }
+    return bytes;
+}
+
+/// Applies the steps that are newer than the snapshot. Throws codec_error,
+/// difference_base_error or difference_result_error.
+sheet_in_force apply_steps(const sheet_snapshot& snapshot,
+                           const std::vector<sheet_step>& steps)
+{
+    sheet_in_force sheet{snapshot.version, snapshot.offset, snapshot.rules->content()};
+    for (const sheet_step& step : steps)
+    {
+        if (step.version <= sheet.version)
+        {
+            continue;
+        }
+        if (step.version.get() != sheet.version.get() + 1)
+        {
+            throw codec_error("a step between two versions is missing");
+        }
+        sheet.content =
+            apply_difference(sheet.content, decode_difference(step.difference));
+        sheet.version = step.version;
+        sheet.offset = step.offset;
+        sheet.author = step.author;
+        sheet.steps.push_back(step);
+    }
+    return sheet;
+}
+
+} // namespace
+
 sheet_sync::sheet_sync(const node_id& self, const domain_name& domain, log_service* log,
                        milliseconds log_retention, peer_table& peers,
                        sheet_holder& sheets, event_log& events, sender send,
                        std::function<void(sheet_version)> on_change)
     : self_(self), domain_(domain), peers_(peers), sheets_(sheets), events_(events),
-      send_(std::move(send)), on_change_(std::move(on_change)), started_(clock::now())
+      send_(std::move(send)), on_change_(std::move(on_change)), started_(clock::now()),
+      random_(random_seed())
 {
     if (log == nullptr)
     {
@@ -48,36 +90,103 @@
 
 void sheet_sync::adopt(const sheet_in_force& sheet)
 {
-    if (sheets_.adopt(sheet.version, sheet.offset, sheet.content))
+    const sheet_version before = sheets_.version();
+    if (!sheets_.adopt(sheet.version, sheet.offset, sheet.content, sheet.author))
     {
-        const auto version = static_cast<std::int64_t>(sheet.version.get());
-        events_.record("sheet_in_force", {{"version", version}});
-        on_change_(sheet.version);
+        return;
     }
+    keep_steps(sheet.steps);
+    const auto version = static_cast<std::int64_t>(sheet.version.get());
+    events_.record("sheet_in_force", {{"version", version}});
+    pass_on(sheet.steps, before);
+    on_change_(sheet.version);
 }
 
-void sheet_sync::tick()
+void sheet_sync::keep_steps(const std::vector<sheet_step>& steps)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    puller_.end();
+    if (steps.empty())
+    {
+        history_.clear();
+    }
+    for (const sheet_step& step : steps)
+    {
+        history_.add(step);
+    }
+}
+
+void sheet_sync::pass_on(const std::vector<sheet_step>& steps, sheet_version before)
 {
-    if (const auto holder = peers_.holder_of_newer_sheet(sheets_.version()))
+    sheet_delta_message delta;
+    for (const sheet_step& step : steps)
+    {
+        if (step.version > before)
+        {
+            delta.steps.push_back(step);
+        }
+    }
+    if (delta.steps.empty() || delta.steps.size() > max_passed_on)
+    {
+        return;
+    }
+    for (const node_id& child : sheet_children(self_, peers_.live_nodes(domain_)))
     {
-        send_(*holder, sheet_pull_message{sheets_.version()});
+        send_(child, delta);
     }
+}
+
+void sheet_sync::tick()
+{
+    pull_if_overdue();
     if (!ready_ && compute_ready())
     {
         ready_ = true;
         const auto version = static_cast<std::int64_t>(sheets_.version().get());
         events_.record("node_ready", {{"version", version}});
     }
+    update_following();
+}
+
+void sheet_sync::update_following()
+{
     if (follower_)
     {
-        const auto readers = choose_by_rendezvous(
-            "config-readers", peers_.live_nodes(domain_), readers_per_domain);
+        const auto readers = sheet_readers(peers_.live_nodes(domain_));
         const bool chosen =
             std::find(readers.begin(), readers.end(), self_) != readers.end();
         follower_->set_following(chosen || !ready_);
     }
 }
 
+void sheet_sync::pull_if_overdue()
+{
+    const sheet_version have = sheets_.version();
+    std::optional<node_id> holder;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        holder = peers_.choose_sheet_holder(have, random_);
+        if (!puller_.is_overdue(have, holder.has_value(), clock::now()))
+        {
+            return;
+        }
+    }
+    pull(*holder, have);
+}
+
+/// Asks a peer for what is newer than `have`, unless a pull is under way.
+void sheet_sync::pull(const node_id& peer, sheet_version have)
+{
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (!puller_.begin(clock::now()))
+        {
+            return;
+        }
+    }
+    send_(peer, sheet_pull_message{have});
+}
+
 bool sheet_sync::compute_ready() const
 {
     const sheet_version version = sheets_.version();
@@ -98,25 +207,89 @@
 
 void sheet_sync::on_peer_version(const node_id& peer, sheet_version version)
 {
-    if (version > sheets_.version())
+    const sheet_version have = sheets_.version();
+    if (version > have)
     {
-        send_(peer, sheet_pull_message{sheets_.version()});
+        pull(peer, have);
     }
 }
 
 void sheet_sync::on_pull(const node_id& peer, const sheet_pull_message& pull)
 {
     const auto snapshot = sheets_.get();
-    if (snapshot && snapshot->version > pull.have)
+    if (!snapshot || snapshot->version <= pull.have)
+    {
+        return;
+    }
+    link_message answer = answer_to(pull.have, *snapshot);
+    std::size_t bytes = snapshot->rules->content().size();
+    if (const auto* delta = std::get_if<sheet_delta_message>(&answer))
+    {
+        bytes = size_of(delta->steps);
+    }
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (!answers_.take(bytes, clock::now()))
+        {
+            return; // the peer asks another node after a second
+        }
+    }
+    send_(peer, std::move(answer));
+}
+
+/// Returns the differences, unless the whole sheet has fewer bytes.
+link_message sheet_sync::answer_to(sheet_version have, const sheet_snapshot& snapshot)
+{
+    const std::string& content = snapshot.rules->content();
+    if (have != sheet_version(0))
     {
-        send_(peer, sheet_push_message{snapshot->version, snapshot->offset,
-                                       snapshot->rules->content()});
+        const std::lock_guard<std::mutex> lock(mutex_);
+        auto steps = history_.since(have);
+        if (steps && size_of(*steps) < content.size())
+        {
+            return sheet_delta_message{std::move(*steps)};
+        }
     }
+    return sheet_push_message{snapshot.version, snapshot.offset, content,
+                              snapshot.author};
 }
 
 void sheet_sync::on_push(const sheet_push_message& push)
 {
-    const sheet_in_force sheet{push.version, push.offset, push.content};
+    take({push.version, push.offset, push.content, push.author});
+}
+
+void sheet_sync::on_delta(const node_id& peer, const sheet_delta_message& delta)
+{
+    const auto snapshot = sheets_.get();
+    const sheet_version have = snapshot ? snapshot->version : sheet_version(0);
+    if (delta.steps.empty() || delta.steps.back().version <= have)
+    {
+        return;
+    }
+    if (!snapshot || delta.steps.front().version.get() > have.get() + 1)
+    {
+        pull(peer, have);
+        return;
+    }
+    try
+    {
+        take(apply_steps(*snapshot, delta.steps));
+    }
+    catch (const error& problem)
+    {
+        events_.record("sheet_difference_refused",
+                       {{"peer", peer.get()}, {"reason", std::string(problem.what())}});
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            puller_.end(); // these differences may be the answer to the pull under way
+        }
+        pull(peer, sheet_version(0));
+    }
+}
+
+void sheet_sync::take(const sheet_in_force& sheet)
+{
     if (follower_)
     {
         follower_->offer(sheet); // calls adopt() if it is newer
--- /dev/null
+++ b/src/node/sheet_sync_test.cpp
@@ -0,0 +1,103 @@
+#include <algorithm>
+#include <criterion/criterion.h>
+#include <set>
+
+#include "fescueridge/node/sheet_pulls.hpp"
+#include "fescueridge/node/sheet_tree.hpp"
+
+using namespace fescueridge;
+
+namespace
+{
+
+std::vector<node_id> nodes(std::size_t count)
+{
+    std::vector<node_id> result;
+    result.reserve(count);
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        result.emplace_back("node-" + std::to_string(i));
+    }
+    return result;
+}
+
+} // namespace
+
+// Guards against a node of a failure domain that no difference reaches, one that gets it
+// twice, and a tree that is too deep or too wide.
+Test(sheet_sync, tree_reaches_every_node_once)
+{
+    for (const std::size_t count : {0, 1, 3, 4, 40, 1380})
+    {
+        const auto live = nodes(count);
+        const auto readers = sheet_readers(live);
+        std::set<node_id> reached(readers.begin(), readers.end());
+        std::vector<node_id> level = readers;
+        std::size_t levels = 0;
+        while (!level.empty())
+        {
+            std::vector<node_id> below;
+            for (const node_id& node : level)
+            {
+                const auto children = sheet_children(node, live);
+                cr_assert_leq(children.size(), sheet_tree_fan_out);
+                below.insert(below.end(), children.begin(), children.end());
+            }
+            for (const node_id& node : below)
+            {
+                cr_assert(reached.insert(node).second, "reached twice");
+            }
+            levels += below.empty() ? 0 : 1;
+            level = std::move(below);
+        }
+        cr_assert_eq(reached.size(), count);
+        cr_assert_leq(levels, 3);
+    }
+    cr_assert(sheet_children(node_id("unknown"), nodes(40)).empty());
+}
+
+// Guards against a node that pulls all the time, one that does not ask again when it got
+// no answer, and one that pulls what the tree is about to bring.
+Test(sheet_sync, pulls_one_at_a_time_and_late)
+{
+    sheet_puller puller;
+    const time_point start = clock::now();
+    const auto at = [&](int ms)
+    {
+        return start + milliseconds(ms);
+    };
+    cr_assert(puller.is_overdue(sheet_version(0), true, at(0)), "a fresh node waits");
+    const sheet_version have(4);
+    cr_assert(!puller.is_overdue(have, true, at(0)));
+    cr_assert(!puller.is_overdue(have, false, at(200)));
+    cr_assert(!puller.is_overdue(have, true, at(400)));
+    cr_assert(puller.is_overdue(have, true, at(800)));
+    cr_assert(puller.begin(at(800)));
+    cr_assert(!puller.begin(at(1700)));
+    cr_assert(puller.begin(at(1800)));
+    puller.end();
+    cr_assert(puller.begin(at(1900)));
+    cr_assert(!puller.is_overdue(sheet_version(5), true, at(1900)), "made progress");
+}
+
+// Guards against a node that sends the sheet to a whole failure domain at once.
+Test(sheet_sync, answers_are_bounded)
+{
+    sheet_answer_budget budget;
+    const time_point start = clock::now();
+    const auto answered = [&](std::size_t bytes, time_point now)
+    {
+        int count = 0;
+        while (count < 1000 && budget.take(bytes, now))
+        {
+            ++count;
+        }
+        return count;
+    };
+    cr_assert_eq(answered(346'000, start), 13);
+    cr_assert_eq(answered(346'000, start + milliseconds(1)), 0);
+    cr_assert(answered(346'000, start + milliseconds(1001)) >= 11);
+    sheet_answer_budget large;
+    cr_assert_eq(large.take(std::size_t{8} * 1024 * 1024, start), true);
+    cr_assert_eq(large.take(1, start + milliseconds(900)), false);
+}
--- a/src/state/config_delta_test.cpp
+++ b/src/state/config_delta_test.cpp
@@ -254,6 +254,8 @@
     add(1201, sheet_history::max_bytes - 150);
     cr_assert_eq(history.since(sheet_version(1199))->size(), 2);
     cr_assert(!history.since(sheet_version(1198)));
+    add(1200, 10);
+    cr_assert_eq(history.since(sheet_version(1199))->size(), 2, "an old step is ignored");
     add(1203, 10);
     cr_assert(!history.since(sheet_version(1201)), "version 1202 is missing");
     cr_assert_eq(history.since(sheet_version(1202))->size(), 1);
--- a/src/state/config_follower.cpp
+++ b/src/state/config_follower.cpp
@@ -181,6 +181,7 @@
     {
         const std::lock_guard<std::mutex> lock(mutex_);
         state_.restart(oldest);
+        log_steps_.clear();
         carry_timer_.reset();
     }
     report("log_truncated", fmt::format("reading goes on at offset {}", oldest.get()));
--- a/src/state/sheet_history.cpp
+++ b/src/state/sheet_history.cpp
@@ -7,6 +7,10 @@
 
 void sheet_history::add(sheet_step step)
 {
+    if (!steps_.empty() && step.version <= steps_.back().version)
+    {
+        return;
+    }
     if (!steps_.empty() && steps_.back().version.get() + 1 != step.version.get())
     {
         clear();
--- a/src/transport/link_hub.cpp
+++ b/src/transport/link_hub.cpp
@@ -291,6 +291,11 @@
     return impl_->links();
 }
 
+link_counters link_hub::counters() const noexcept
+{
+    return {impl_->bytes_sent_, impl_->bytes_received_};
+}
+
 void link_hub::close()
 {
     impl_->close();
--- a/src/transport/link_impl.cpp
+++ b/src/transport/link_impl.cpp
@@ -75,7 +75,10 @@
     const auto bytes = encode_frame({hub_->events_.stamp(), message});
     if (bytes.size() > max_frame_bytes)
         return false;
-    return !connection_->send(bytes, websocketpp::frame::opcode::binary);
+    if (connection_->send(bytes, websocketpp::frame::opcode::binary))
+        return false;
+    hub_->bytes_sent_ += bytes.size();
+    return true;
 }
 
 void link_impl::on_frame(const websocket_client::message_ptr& frame)
@@ -85,6 +88,7 @@
     last_received_ = clock::now();
     if (frame->get_opcode() != websocketpp::frame::opcode::binary)
         return end(fault(link_fault_kind::bad_frame, "frame is not binary"));
+    hub_->bytes_received_ += frame->get_payload().size();
     link_frame decoded;
     try
     {
--- a/src/transport/link_impl.hpp
+++ b/src/transport/link_impl.hpp
@@ -114,6 +114,8 @@
     link_options options_;
     endpoint bound_;
     std::atomic<bool> closed_{false};
+    std::atomic<std::uint64_t> bytes_sent_{0};
+    std::atomic<std::uint64_t> bytes_received_{0};
 
 private:
     using link_set = std::set<std::shared_ptr<link_impl>>;
--- a/testsuite/tool_fleet/tool_fleet.py
+++ b/testsuite/tool_fleet/tool_fleet.py
@@ -142,7 +142,7 @@
 
 
 def check_views(case):
-    assert case.tool(OK, "show") == SECOND + "version 4\n"
+    assert case.tool(OK, "show") == SECOND + "version 4 by fay\n"
     assert case.tool_json(OK, "show")["content"] == SECOND
     assert "0 rows differ" in case.tool(OK, "show", "--against", case.files["second"])
     assert "rows differ" in case.tool(OK, "show", "--against", case.files["third"])
