--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -135,6 +135,7 @@
         "gossip_changes": size["nodes"], "join_core": size["nodes"], "stale": size["nodes"],
         "peers_update": size["nodes"], "sheet_news": size["nodes"],
         "peers_tick": size["nodes"], "parse": size["sheet_rules"],
+        "apply": size["sheet_rules"],
     }
     texts = {
         "idle_core": "core of an idle real node", "idle_memory": "resident bytes of a real node",
@@ -148,6 +149,7 @@
         "peers_update": "seconds to rebuild the tables",
         "sheet_news": "seconds to apply one sheet version of a member",
         "peers_tick": "seconds of one sheet tick", "parse": "seconds to parse the sheet",
+        "apply": "seconds to apply a difference",
     }
     body = []
     for name, place in places.items():
@@ -215,13 +217,13 @@
 
 
 def distribution_table(slopes, size, d):
-    change = 200  # row text of at most 200 bytes a cell, key and envelope
+    change = slopes["sheet"][-1]["difference_bytes"]
     own = (1 + size["services_called_by_a_service"]) / size["services"]
     rows = [
-        ["whole sheet to each node (now)", number(size["sheet_bytes"] * d["changes"]),
+        ["whole sheet to each node (before)", number(size["sheet_bytes"] * d["changes"]),
          number(size["sheet_bytes"] * d["changes"] * 4 / 3 * 3 * size["failure_domains"]),
          number(size["sheet_bytes"] * size["sheet_changes_per_day"] / 1e9) + " GB"],
-        ["differences to each node", number(change * d["changes"]),
+        ["differences to each node (now)", number(change * d["changes"]),
          number(change * d["changes"] * 4 / 3 * 3 * size["failure_domains"]),
          number(change * size["sheet_changes_per_day"] / 1e9) + " GB"],
         ["differences, rows of own and called services only",
--- a/src/capacity/tables.cpp
+++ b/src/capacity/tables.cpp
@@ -12,6 +12,7 @@
 #include "fescueridge/overload/retry.hpp"
 #include "fescueridge/sheet/sheet.hpp"
 #include "fescueridge/state/claims.hpp"
+#include "fescueridge/state/content_difference.hpp"
 #include "measure.hpp"
 
 namespace fescueridge::capacity
@@ -58,6 +59,23 @@
 
 } // namespace
 
+/// Measures the difference that one changed row makes: its frame on a link, and the times
+/// to find and to apply it.
+void add_difference(json& point, const std::string& base, int times)
+{
+    std::string changed = base;
+    changed.replace(changed.find('\n', changed.size() / 2) + 1, 4, "RULE");
+    const content_difference difference = find_difference(base, changed);
+    const std::string bytes = encode_difference(difference);
+    const sheet_step step{sheet_version(13'000), log_offset(13'000), "operator", bytes};
+    point["difference_bytes"] =
+        encode_frame({1'000'000, sheet_delta_message{{step}}}).size();
+    point["find_difference_s"] =
+        seconds_of(times, [&] { find_difference(base, changed); });
+    point["apply_difference_s"] =
+        seconds_of(times, [&] { apply_difference(base, decode_difference(bytes)); });
+}
+
 json measure_sheet(bool quick)
 {
     json points = json::array();
@@ -84,6 +102,7 @@
                           {"parse_s", parse},
                           {"lookup_s", lookup},
                           {"found", found}});
+        add_difference(points.back(), text, times);
     }
     return points;
 }
