Draw the peer of a pull without holding a lock

Only tick() draws, so no lock is needed. A unit test covers the choice: newest version, own domain first, no dead nodes, at random among equals.

--- a/src/include/fescueridge/node/sheet_sync.hpp
+++ b/src/include/fescueridge/node/sheet_sync.hpp
@@ -84,8 +84,8 @@
     const std::function<void(sheet_version)> on_change_;
     const time_point started_;
     std::atomic<bool> ready_{false};
-    std::mutex mutex_; ///< Guards what follows, up to the follower.
-    random_engine random_;
+    random_engine random_; ///< Used by tick() only.
+    std::mutex mutex_;     ///< Guards what follows, up to the follower.
     sheet_history history_;
     sheet_puller puller_;
     sheet_answer_budget answers_;
--- a/src/node/peer_table_test.cpp
+++ b/src/node/peer_table_test.cpp
@@ -1,4 +1,5 @@
 #include <criterion/criterion.h>
+#include <set>
 
 #include "fescueridge/node/peer_table.hpp"
 
@@ -63,3 +64,41 @@
     cr_expect(
         !fixture.peers.update_sheet_versions({{change_kind::joined, fixture.first}}));
 }
+
+// Guards against a fleet that rejoins and sends all its pulls to one node, to another
+// failure domain, to a dead node or to one with an older sheet.
+Test(peer_table, sheet_holder_is_drawn_among_the_newest_own_domain_first)
+{
+    std::vector<member_view> members;
+    const auto add = [&](const char* name, const char* domain, std::uint64_t version)
+    {
+        members.push_back(member(name));
+        members.back().record.domain = domain_name(domain);
+        members.back().record.sheet = sheet_version(version);
+    };
+    add("old", "a", 6);
+    add("dead", "a", 8);
+    members.back().status = liveness::dead;
+    add("b1", "b", 7);
+    add("b2", "b", 7);
+    peer_table peers(node_id("n0"), domain_name("a"));
+    random_engine random(1);
+    const auto drawn = [&](std::uint64_t known)
+    {
+        peers.update(member("n0").record, members);
+        std::set<std::string> names;
+        for (int i = 0; i < 50; ++i)
+        {
+            const auto holder = peers.choose_sheet_holder(sheet_version(known), random);
+            names.insert(holder ? holder->get() : "none");
+        }
+        return names;
+    };
+    using names = std::set<std::string>;
+    cr_assert(drawn(5) == (names{"b1", "b2"}));
+    cr_assert(drawn(7) == (names{"none"}));
+    add("a1", "a", 7);
+    add("a2", "a", 7);
+    cr_assert(drawn(5) == (names{"a1", "a2"}));
+    cr_assert(drawn(0) == (names{"a1", "a2"}));
+}
--- a/src/node/sheet_sync.cpp
+++ b/src/node/sheet_sync.cpp
@@ -162,10 +162,9 @@
 void sheet_sync::pull_if_overdue()
 {
     const sheet_version have = sheets_.version();
-    std::optional<node_id> holder;
+    const auto holder = peers_.choose_sheet_holder(have, random_);
     {
         const std::lock_guard<std::mutex> lock(mutex_);
-        holder = peers_.choose_sheet_holder(have, random_);
         if (!puller_.is_overdue(have, holder.has_value(), clock::now()))
         {
             return;
