Test a difference of another base with real processes

A record with a foreign difference is not applied by any node: the readers report it, the sheet in force stays, the next submit loses and is told the version, and a submit on that version is in force everywhere.

Seen failing with the checks of the base and result hashes left out: no reader reports the difference.

--- a/testsuite/sheet_everywhere/small_changes.py
+++ b/testsuite/sheet_everywhere/small_changes.py
@@ -1,7 +1,8 @@
 """Small changes of a large sheet reach all nodes with few bytes on the links.
 
 Guards against a change that goes whole to every node, and against a node that missed some
-changes and does not catch up, or only by the whole sheet. One failure domain of 8 nodes: 3
+changes and does not catch up, or only by the whole sheet, and against a difference that is
+applied to another sheet than its base. One failure domain of 8 nodes: 3
 follow the log, the others get the changes over links.
 """
 
@@ -14,6 +15,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 from fleet import Fleet, http_call, http_json, sheet, wait_until  # noqa: E402
+from sheet_everywhere import STREAM, cbor_head  # noqa: E402
 
 RULES = 5000
 SERVICES = 350
@@ -129,6 +131,32 @@
     run.in_force(run.fleet.nodes, "last")
 
 
+def foreign_difference(base):
+    """Encodes a submit_delta whose difference has another base than the sheet."""
+    difference = (cbor_head(4, 4) + cbor_head(0, 1) + cbor_head(4, 0) + cbor_head(4, 2) +
+                  cbor_head(0, 0) + cbor_head(2, 2) + b"x\n" + cbor_head(0, 2))
+    return (cbor_head(4, 5) + cbor_head(0, 3) + cbor_head(2, 2) + b"id" + cbor_head(0, base) +
+            cbor_head(2, 3) + b"eve" + cbor_head(2, len(difference)) + difference)
+
+
+def refused_difference(run):
+    """Nobody applies a foreign difference, and the next operator gets past it."""
+    nodes = run.fleet.nodes
+    status, _, body = http_call(run.fleet.log_port, "POST", STREAM,
+                                foreign_difference(run.version))
+    assert status == 200, body
+    wait_until(lambda: len({event["node"] for event in refused(nodes)}) >= 3, IN_FORCE_S,
+               "the readers report the difference")
+    run.in_force(nodes, "last")
+    lost = run.fleet.submit(run.content() + "setting,domains,2,,,,,,\n", author="fay",
+                            base=run.version)
+    assert lost["status"] == "lost" and lost["winner_author"] == "eve", lost
+    assert lost["version"] == run.version + 1, lost
+    run.version = lost["version"]
+    run.change(nodes[5], "fay")
+    run.in_force(nodes, "fay")
+
+
 def main(build, seed):
     print("seed %d" % seed)
     with Fleet(build, seed) as fleet:
@@ -141,6 +169,7 @@
         for step in (small_changes, paused_node, replaced_node):
             step(run)
         assert not refused(fleet.nodes), refused(fleet.nodes)
+        refused_difference(run)
 
 
 if __name__ == "__main__":
