Let a service recover after its claims table was lost

Cause: when all nodes of a service were gone for longer than the log's retention, no usable carry was left, and the service refused at-most-once calls for good.

Ruled out: - A carry with unknown_until from the appending node's clock: a clock that is behind the log's would end the unknown time too early. The record names a duration, and readers add it to the record's log time. - Readers that know the table ignoring the record: their keys would expire at other times than those of readers that start from it, and a key could then run twice. Every reader drops its table at a record that counts. - Counting every such record: a late append could discard a table that was carried since. It counts only if no record came between as_of and it.

Change: record kind 4, lost {as_of, unknown_for}. A node appends it when the end of its stream has shown no usable carry for half the retention, without failed reads or long pauses between two reads. Calls are refused at once (log_unavailable, not run) for 31 days by the log's clock, and claims in the stream are dead for that time. Carries keep the time. Event claims_table_lost. The stand-in log's clock can be set forward (control clock_ahead_ms). carried_stream passes the raw record to carry_as_of.

Conclusion: a lost table costs 31 days of refusals and no operator's action. The end of the unknown time is not in the model: its one key never expires.

--- a/spec/claims.pml
+++ b/spec/claims.pml
@@ -1,6 +1,8 @@
 /* At-most-once protocol of docs/design.md section 6.2, for one key.
  * Holders 0..2 each claim the key for one call (a resend is another call); node 3 only
- * reads and carries the table forward. The log may refuse, lose an answer, lose an append,
+ * reads and carries the table forward, or tells that the last usable carry was dropped
+ * (lost table). The end of the unknown time is left out: the keys claimed before it have
+ * expired by then, and the model has one key that never expires. The log may refuse, lose an answer, lose an append,
  * delay an effect, and drop old records. A pause is any delay between two steps. Done
  * records are left out: they change what a resend is told, not who may run.
  * Properties: the key is executed at most once; a call answered "not run" is never
@@ -22,6 +24,7 @@
 #define CLAIM   1
 #define VOID    2
 #define CARRY   3
+#define LOST    4
 
 #define WON     1
 #define DEAD    2
@@ -30,8 +33,8 @@
 
 /* The log. Records below `oldest` are dropped: no step reads them any more. */
 byte kind[LOG]; byte who[LOG];
-/* Content of the one carry. */
-byte as_of; byte c_owner; byte c_spent;
+/* Content of the one carry or lost table. */
+byte as_of; byte c_owner; byte c_spent; bool c_unknown;
 byte last = 0;
 byte oldest = 0;
 byte faults = 0;
@@ -40,7 +43,7 @@
 
 /* One table for each node. */
 byte first[TABLES]; byte next[TABLES]; bool complete[TABLES];
-byte owner[TABLES]; byte spent[TABLES];
+byte owner[TABLES]; byte spent[TABLES]; bool unknown[TABLES];
 
 byte decided[HOLDERS];
 bool appended[HOLDERS];
@@ -63,18 +66,24 @@
     :: kind[i] == CLAIM ->
         /* decide */
         if
+        :: unknown[n] ->
+            spent[n] = spent[n] | BIT(who[i]);
+            if
+            :: who[i] == n && decided[n] == 0 -> decided[n] = DEAD
+            :: else
+            fi
 #ifndef MUTANT_VOID_ORDER
-        :: (spent[n] & BIT(who[i])) != 0 -> skip
-        :: (spent[n] & BIT(who[i])) == 0 && owner[n] == NONE ->
+        :: !unknown[n] && (spent[n] & BIT(who[i])) != 0 -> skip
+        :: !unknown[n] && (spent[n] & BIT(who[i])) == 0 && owner[n] == NONE ->
 #else
-        :: owner[n] == NONE ->
+        :: !unknown[n] && owner[n] == NONE ->
 #endif
             owner[n] = who[i];
             if
             :: who[i] == n && decided[n] == 0 -> decided[n] = WON
             :: else
             fi
-        :: owner[n] == who[i] -> skip
+        :: !unknown[n] && owner[n] == who[i] -> skip
         :: else ->
             spent[n] = spent[n] | BIT(who[i]);
             if
@@ -93,6 +102,13 @@
         :: else
         fi;
         spent[n] = spent[n] | BIT(who[i])
+    :: kind[i] == LOST && as_of == i ->
+        /* lose: readers that know the table too, so all agree */
+        owner[n] = NONE;
+        spent[n] = 0;
+#ifndef MUTANT_NO_UNKNOWN_TIME
+        unknown[n] = true
+#endif
     :: else
     fi;
     assert(owner[n] == NONE || (spent[n] & BIT(owner[n])) == 0)
@@ -104,6 +120,7 @@
     next[n] = oldest;
     owner[n] = NONE;
     spent[n] = 0;
+    unknown[n] = false;
 #ifdef MUTANT_INCOMPLETE_TABLE
     complete[n] = true
 #else
@@ -134,6 +151,7 @@
                 complete[n] = true;
                 owner[n] = c_owner;
                 spent[n] = c_spent;
+                unknown[n] = c_unknown;
                 i = as_of;
                 if
                 :: i < first[n] -> i = first[n]
@@ -143,6 +161,10 @@
                 :: i < next[n] -> apply(n, i); i++
                 :: else -> break
                 od
+            /* a lost table counts only if no record came between as_of and it */
+            :: kind[next[n]] == LOST && as_of == next[n] ->
+                complete[n] = true;
+                apply(n, next[n])
             :: else
             fi;
             next[n]++
@@ -155,7 +177,7 @@
 inline forget(n)
 {
     first[n] = 0; next[n] = 0; complete[n] = false;
-    owner[n] = 0; spent[n] = 0
+    owner[n] = 0; spent[n] = 0; unknown[n] = false
 }
 
 /* Same for what is known of a call that cannot be dispatched any more. */
@@ -177,6 +199,10 @@
     :: complete[n] -> break
     :: !complete[n] && next[n] < last -> atomic { read_all(n) }
     od;
+    if
+    :: unknown[n] -> goto leave
+    :: else
+    fi;
     /* append_claim: once only. A lost answer changes nothing, as the answer is not used;
      * a lost append is an effect that is delayed for ever.
      */
@@ -240,23 +266,31 @@
 proctype carrier()
 {
     byte i = 0;
-    byte at; byte the_owner; byte the_spent;
+    byte at; byte the_owner; byte the_spent; bool the_unknown; bool lost;
     atomic { restart(CARRIER); read_all(CARRIER) };
-    d_step {
+    if
+    :: d_step {
         complete[CARRIER] ->
         at = next[CARRIER];
         the_owner = owner[CARRIER];
         the_spent = spent[CARRIER];
+        the_unknown = unknown[CARRIER];
         forget(CARRIER)
-    };
+       }
+    :: d_step { !complete[CARRIER] -> at = next[CARRIER]; lost = true; forget(CARRIER) }
+    fi;
     /* The append may come late, after many other records. */
     d_step {
         last < LOG ->
         as_of = at;
         c_owner = the_owner;
         c_spent = the_spent;
-        store(CARRY, CARRIER);
-        at = 0; the_owner = 0; the_spent = 0
+        c_unknown = the_unknown;
+        if
+        :: lost -> store(LOST, CARRIER)
+        :: else -> store(CARRY, CARRIER)
+        fi;
+        at = 0; the_owner = 0; the_spent = 0; the_unknown = false; lost = false
     }
 }
 
--- a/src/include/fescueridge/state/carried_stream.hpp
+++ b/src/include/fescueridge/state/carried_stream.hpp
@@ -118,7 +118,7 @@
 
     void take(const log_record& raw, record_type&& record)
     {
-        const std::optional<log_offset> as_of = Table::carry_as_of(record);
+        const std::optional<log_offset> as_of = Table::carry_as_of(raw, record);
         if (as_of && *as_of > raw.offset)
         {
             throw codec_error("carry claims to know records that come after it");
--- a/src/include/fescueridge/state/claim_client.hpp
+++ b/src/include/fescueridge/state/claim_client.hpp
@@ -13,6 +13,7 @@
 #include "fescueridge/base/random.hpp"
 #include "fescueridge/state/carry_timer.hpp"
 #include "fescueridge/state/claims.hpp"
+#include "fescueridge/state/lost_table_timer.hpp"
 #include "fescueridge/state/stream_follower.hpp"
 
 namespace fescueridge
@@ -92,7 +93,7 @@
     /// Sets the time for which keys of later claims are remembered.
     void set_remember(milliseconds remember);
 
-    /// Returns true if the table is complete, so keys can be claimed.
+    /// Returns true if the table is complete and known, so keys can be claimed.
     bool ready() const;
 
     /// Answers everything that waits as unavailable and ends the threads. Appends
@@ -131,6 +132,9 @@
     void on_truncated(log_offset oldest);
     void decide(const std::vector<claim_decision>& decisions);
     void carry_if_due();
+    void tell_lost_if_due(const log_page& page);
+    void on_read_fault(const error& problem);
+    bool can_decide() const;
     void report(const std::string& name, const std::string& reason) const;
 
     log_service& log_;
@@ -150,6 +154,7 @@
     std::vector<done_entry> dones_;
     std::optional<time_point> done_due_;
     carry_timer carry_timer_;
+    lost_table_timer lost_timer_;
     claims_state state_;
     std::optional<stream_follower> follower_;
     std::thread writer_;
--- a/src/include/fescueridge/state/claims.hpp
+++ b/src/include/fescueridge/state/claims.hpp
@@ -76,13 +76,27 @@
 {
     log_offset as_of;
     std::int64_t wall_ms = 0;
+    std::int64_t unknown_until_ms = 0; ///< See claims_lost; 0 if the table is known.
     std::vector<taken_key> keys;
     done_keys::buckets done;
     std::vector<spent_call> spent;
 };
 
+/// The last usable carry was dropped: no reader knows which keys are taken until
+/// `unknown_for` after this record, by the log's clock. Counts only if no record came
+/// between `as_of` and this one, so a late append cannot discard a table that is known.
+struct claims_lost
+{
+    log_offset as_of;
+    milliseconds unknown_for{0};
+};
+
+/// Longest time that a claim may ask its key to be remembered, and that a lost table is
+/// unknown: the longest `remember_days` that the sheet allows.
+constexpr milliseconds max_remember{std::int64_t{31} * 24 * 3'600'000};
+
 /// A record of the stream claims.<service>.
-using claims_record = std::variant<claims_batch, claims_carry>;
+using claims_record = std::variant<claims_batch, claims_carry, claims_lost>;
 
 std::string encode_claims_record(const claims_record& record);
 
@@ -98,6 +112,7 @@
     call_id call;
     bool won = false;
     bool owner_done = false; ///< If not won: the call that holds the key has ended.
+    bool unknown = false;    ///< If not won: the table was unknown, nobody gets the key.
 };
 
 /// State of the claims of a service after a prefix of its stream.
@@ -109,7 +124,8 @@
     {
         return decode_claims_record(bytes);
     }
-    static std::optional<log_offset> carry_as_of(const record_type& record);
+    static std::optional<log_offset> carry_as_of(const log_record& raw,
+                                                 const record_type& record);
     void load(const record_type& carry);
     void apply(const log_record& raw, const record_type& record);
 
@@ -122,16 +138,23 @@
     /// Returns the table as a carry, without what has expired.
     claims_carry to_carry(log_offset as_of) const;
 
+    /// Returns the time of the log's clock until which no key may be claimed; 0 if none.
+    std::int64_t unknown_until_ms() const noexcept
+    {
+        return unknown_until_ms_ > wall_ms_ ? unknown_until_ms_ : 0;
+    }
+
     std::size_t size() const noexcept { return keys_.size() + done_.size(); }
 
 private:
     // Time for which a void that has not met its claim is kept: as long as the longest
     // time of remembering that the sheet allows.
-    static constexpr std::int64_t spent_ms = std::int64_t{31} * 24 * 3'600'000;
+    static constexpr std::int64_t spent_ms = max_remember.count();
 
     void add(const claim_entry& entry);
     void add(const done_entry& entry);
     void add(const void_entry& entry);
+    void lose(const claims_lost& lost);
     void spend(const call_id& call);
     void expire();
 
@@ -140,6 +163,7 @@
     std::unordered_map<call_id, std::int64_t> spent_;
     std::vector<claim_decision> decisions_;
     std::int64_t wall_ms_ = 0;
+    std::int64_t unknown_until_ms_ = 0;
     std::int64_t next_expiry_ms_ = 0;
 };
 
--- a/src/include/fescueridge/state/config_state.hpp
+++ b/src/include/fescueridge/state/config_state.hpp
@@ -70,7 +70,8 @@
     {
         return decode_config_record(bytes);
     }
-    static std::optional<log_offset> carry_as_of(const record_type& record);
+    static std::optional<log_offset> carry_as_of(const log_record& raw,
+                                                 const record_type& record);
     void load(const record_type& carry);
     void apply(const log_record& raw, const record_type& record);
 
--- a/src/standin_log/main.cpp
+++ b/src/standin_log/main.cpp
@@ -138,6 +138,11 @@
             log_.set_retention(
                 milliseconds(settings.at("retention_ms").get<std::int64_t>()));
         }
+        if (settings.contains("clock_ahead_ms"))
+        {
+            const auto ahead = settings.at("clock_ahead_ms").get<std::int64_t>();
+            log_.set_wall_clock([ahead] { return wall_clock_ms() + ahead; });
+        }
         if (settings.contains("drop_before"))
         {
             const json& drop = settings.at("drop_before");
--- a/src/state/claim_client.cpp
+++ b/src/state/claim_client.cpp
@@ -35,7 +35,7 @@
                                       [this](log_offset oldest) { on_truncated(oldest); },
                                       [this](const error& problem)
                                       {
-                                          report("claims_log_fault", problem.what());
+                                          on_read_fault(problem);
                                       }});
     writer_ = std::thread([this] { run_writer(); });
     timer_ = std::thread([this] { run_timer(); });
@@ -53,6 +53,7 @@
     claim_result refusal = claim_unavailable{};
     {
         const std::lock_guard<std::mutex> lock(mutex_);
+        const bool unknown = state_.table().unknown_until_ms() > 0;
         const std::optional<key_holder> holder = state_.complete() && caught_up_
                                                      ? state_.table().find(hash_of(key))
                                                      : std::nullopt;
@@ -60,7 +61,7 @@
         {
             refusal = claim_key_in_use{holder->done()};
         }
-        else if (!stopping_ && time_left > milliseconds(0))
+        else if (!stopping_ && !unknown && time_left > milliseconds(0))
         {
             pending_call pending;
             pending.key = hash_of(key);
@@ -157,7 +158,13 @@
 bool claim_client::ready() const
 {
     const std::lock_guard<std::mutex> lock(mutex_);
-    return caught_up_ && state_.complete();
+    return can_decide();
+}
+
+/// spec/claims.pml, label catch_up: no claim without a complete table that is known.
+bool claim_client::can_decide() const
+{
+    return caught_up_ && state_.complete() && state_.table().unknown_until_ms() == 0;
 }
 
 void claim_client::run_writer()
@@ -166,8 +173,7 @@
     while (!stopping_)
     {
         const time_point now = clock::now();
-        // spec/claims.pml, label catch_up: no claim without a complete table.
-        const bool can_claim = !queue_.empty() && state_.complete() && caught_up_;
+        const bool can_claim = !queue_.empty() && can_decide();
         const bool dones_due = done_due_ && *done_due_ <= now;
         if (!can_claim && voids_.empty() && !dones_due)
         {
@@ -335,8 +341,10 @@
 {
     std::vector<claim_decision> decisions;
     std::vector<claims_state::malformed> problems;
+    std::int64_t unknown_until_ms = 0;
     {
         const std::lock_guard<std::mutex> lock(mutex_);
+        const std::int64_t before = state_.table().unknown_until_ms();
         for (const log_record& record : page.records)
         {
             if (auto problem = state_.add(record))
@@ -350,6 +358,16 @@
             writer_wake_.notify_all();
         }
         decisions = state_.table().take_decisions();
+        const std::int64_t after = state_.table().unknown_until_ms();
+        unknown_until_ms = after != before ? after : 0;
+        writer_wake_.notify_all();
+    }
+    if (unknown_until_ms > 0)
+    {
+        report("claims_table_lost",
+               fmt::format("keys claimed before are not known; at-most-once calls are "
+                           "refused until {} ms by the log's clock",
+                           unknown_until_ms));
     }
     for (const claims_state::malformed& problem : problems)
     {
@@ -358,6 +376,16 @@
     }
     decide(decisions);
     carry_if_due();
+    tell_lost_if_due(page);
+}
+
+void claim_client::on_read_fault(const error& problem)
+{
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        lost_timer_.reset();
+    }
+    report("claims_log_fault", problem.what());
 }
 
 void claim_client::on_truncated(log_offset oldest)
@@ -399,6 +427,10 @@
         {
             done(claim_won{});
         }
+        else if (decision.unknown)
+        {
+            done(claim_unavailable{});
+        }
         else
         {
             done(claim_key_in_use{decision.owner_done});
@@ -430,6 +462,30 @@
     }
 }
 
+/// Appends that the table is lost when the stream has had no usable carry for long.
+void claim_client::tell_lost_if_due(const log_page& page)
+{
+    claims_lost lost;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        const bool lacks_carry = !state_.complete() && page.next == state_.next();
+        if (!lost_timer_.is_due(lacks_carry, clock::now(), options_.retention))
+        {
+            return;
+        }
+        lost.as_of = state_.next();
+        lost.unknown_for = max_remember;
+    }
+    try
+    {
+        log_.append(stream_, encode_claims_record(lost), options_.append_timeout);
+    }
+    catch (const error& problem)
+    {
+        report("carry_failed", problem.what());
+    }
+}
+
 void claim_client::report(const std::string& name, const std::string& reason) const
 {
     if (on_fault_)
--- a/src/state/claims.cpp
+++ b/src/state/claims.cpp
@@ -19,11 +19,20 @@
 {
     batch = 1,
     // 2 was a carry with a call id for each done key.
-    carry = 3
+    carry = 3,
+    lost = 4
 };
 
-// Longest time that a claim may ask its key to be remembered.
-constexpr std::uint64_t max_remember_ms = std::uint64_t{31} * 24 * 3'600'000;
+milliseconds read_duration(detail::cbor_fields& in, const char* what)
+{
+    const std::uint64_t duration = in.number();
+    if (duration > static_cast<std::uint64_t>(max_remember.count()))
+    {
+        throw codec_error(std::string(what) +
+                          " is too long: " + std::to_string(duration) + " ms");
+    }
+    return milliseconds(duration);
+}
 
 /// Appends the fields of an entry to a flat array.
 struct entry_encoder
@@ -66,13 +75,8 @@
         throw codec_error("unknown kind of claims entry: " + std::to_string(kind));
     }
     const incarnation node(in.number());
-    const std::uint64_t remember = in.number();
-    if (remember > max_remember_ms)
-    {
-        throw codec_error(
-            "claim asks to be remembered too long: " + std::to_string(remember) + " ms");
-    }
-    return claim_entry{key, call, node, milliseconds(remember)};
+    return claim_entry{key, call, node,
+                       read_duration(in, "time for which a claim is remembered")};
 }
 
 claims_batch read_batch(detail::cbor_fields& in)
@@ -90,6 +94,7 @@
     claims_carry carry;
     carry.as_of = log_offset(in.number());
     carry.wall_ms = in.signed_number();
+    carry.unknown_until_ms = in.signed_number();
     detail::cbor_fields keys = in.array();
     while (!keys.at_end())
     {
@@ -112,6 +117,15 @@
     return carry;
 }
 
+claims_lost read_lost(detail::cbor_fields& in)
+{
+    claims_lost lost;
+    lost.as_of = log_offset(in.number());
+    lost.unknown_for = read_duration(in, "time for which a table is unknown");
+    in.expect_end();
+    return lost;
+}
+
 } // namespace
 
 key_hash hash_of(const idempotency_key& key)
@@ -136,6 +150,13 @@
         }
         return detail::to_cbor(out);
     }
+    if (const auto* lost = std::get_if<claims_lost>(&record))
+    {
+        out.push_back(static_cast<unsigned>(record_kind::lost));
+        out.push_back(lost->as_of.get());
+        out.push_back(static_cast<std::uint64_t>(lost->unknown_for.count()));
+        return detail::to_cbor(out);
+    }
     const auto& carry = std::get<claims_carry>(record);
     json keys = json::array();
     for (const taken_key& taken : carry.keys)
@@ -153,6 +174,7 @@
     out.push_back(static_cast<unsigned>(record_kind::carry));
     out.push_back(carry.as_of.get());
     out.push_back(carry.wall_ms);
+    out.push_back(carry.unknown_until_ms);
     out.push_back(std::move(keys));
     out.push_back(detail::done_keys_to_json(carry.done));
     out.push_back(std::move(spent));
@@ -171,19 +193,35 @@
     {
         return read_carry(in);
     }
+    if (kind == static_cast<unsigned>(record_kind::lost))
+    {
+        return read_lost(in);
+    }
     throw codec_error("unknown kind of claims record: " + std::to_string(kind));
 }
 
-std::optional<log_offset> claims_table::carry_as_of(const record_type& record)
+std::optional<log_offset> claims_table::carry_as_of(const log_record& raw,
+                                                    const record_type& record)
 {
+    const auto* lost = std::get_if<claims_lost>(&record);
+    if (lost != nullptr && lost->as_of == raw.offset)
+    {
+        return lost->as_of;
+    }
     const auto* carry = std::get_if<claims_carry>(&record);
     return carry != nullptr ? std::make_optional(carry->as_of) : std::nullopt;
 }
 
 void claims_table::load(const record_type& record)
 {
-    const auto& carry = std::get<claims_carry>(record);
+    const auto* known = std::get_if<claims_carry>(&record);
+    if (known == nullptr)
+    {
+        return; // a claims_lost, which apply() then carries out
+    }
+    const claims_carry& carry = *known;
     wall_ms_ = carry.wall_ms;
+    unknown_until_ms_ = carry.unknown_until_ms;
     for (const taken_key& taken : carry.keys)
     {
         keys_[taken.key] = taken;
@@ -209,6 +247,21 @@
             std::visit([this](const auto& e) { add(e); }, entry);
         }
     }
+    const auto* lost = std::get_if<claims_lost>(&record);
+    if (lost != nullptr && lost->as_of == raw.offset)
+    {
+        lose(*lost);
+    }
+}
+
+// spec/claims.pml, label lose: also in a reader that knows the table. Readers with
+// different tables would free keys at different times and let one key run twice.
+void claims_table::lose(const claims_lost& lost)
+{
+    keys_.clear();
+    done_ = done_keys();
+    spent_.clear();
+    unknown_until_ms_ = std::max(unknown_until_ms_, wall_ms_ + lost.unknown_for.count());
 }
 
 // spec/claims.pml, label decide.
@@ -219,6 +272,12 @@
     {
         return;
     }
+    if (unknown_until_ms() > 0)
+    {
+        decisions_.push_back({entry.call, false, false, true});
+        spend(entry.call);
+        return;
+    }
     const std::optional<key_holder> owner = find(entry.key);
     if (!owner)
     {
@@ -309,6 +368,7 @@
     claims_carry carry;
     carry.as_of = as_of;
     carry.wall_ms = wall_ms_;
+    carry.unknown_until_ms = unknown_until_ms();
     carry.done = done_.by_hour();
     for (const auto& [key, taken] : keys_)
     {
--- a/src/state/claims_test.cpp
+++ b/src/state/claims_test.cpp
@@ -240,8 +240,8 @@
 Test(claims, malformed_records_are_refused)
 {
     using namespace std::string_literals;
-    // A carry up to its done keys: as_of 1, time 0, no keys.
-    const std::string carry = "\x86\x03\x01\x00\x80"s;
+    // A carry up to its done keys: as_of 1, time 0, known, no keys.
+    const std::string carry = "\x87\x03\x01\x00\x00\x80"s;
     const std::string one = "\x48\x01\0\0\0\0\0\0\0"s;
     const auto with = [&](const std::string& done)
     {
@@ -255,6 +255,8 @@
         "\x81\x07",
         "\x82\x01\x02",
         "\x83\x03\x01\x01",
+        "\x83\x04\x01\x20"s,                                  // unknown for less than 0
+        "\x83\x04\x01\x1a\xff\xff\xff\xff"s,                  // unknown for over 31 days
         "\x85\x02\x01\x00\x80\x80"s,                          // earlier layout
         with("\x81\x05"),                                     // hour without hashes
         with("\x82\x05\x40"),                                 // no hash
--- a/src/state/config_state.cpp
+++ b/src/state/config_state.cpp
@@ -66,7 +66,8 @@
     throw codec_error("unknown kind of config record: " + std::to_string(kind));
 }
 
-std::optional<log_offset> config_table::carry_as_of(const record_type& record)
+std::optional<log_offset> config_table::carry_as_of(const log_record& /*raw*/,
+                                                    const record_type& record)
 {
     const auto* carry = std::get_if<sheet_carry_record>(&record);
     return carry != nullptr ? std::make_optional(carry->as_of) : std::nullopt;
--- a/testsuite/at_most_once/at_most_once.py
+++ b/testsuite/at_most_once/at_most_once.py
@@ -222,6 +222,41 @@
         stage.finish()
 
 
+def lost_table(build):
+    """All nodes of the service are gone until the log has dropped its claims: calls are
+    refused until old keys have expired by the log's clock, then they run."""
+    keep = 10000
+    with Stage(build, ("--retention-ms", keep), {"log_retention_ms": keep}) as stage:
+        assert stage.ledger.call(stage.a, "before")["outcome"] == "ok"
+        for node in (stage.a, stage.b):
+            node.process.kill()
+
+        def page():
+            return http_json(stage.log_port, "GET",
+                             "/v1/streams/claims.push/records?from=1000000&max=1")[1]
+
+        wait_until(lambda: page()["oldest"] == page()["next"], 15, "the claims are dropped")
+        dropped = page()["next"]
+        for node in (stage.a, stage.b):
+            stage.start_node(node)
+        wait_until(lambda: page()["next"] > dropped, 15, "the table is called lost")
+        wait_until(lambda: all(stage.ledger.call(node, "before")["seconds"] < 0.5
+                               for node in (stage.a, stage.b)), 5, "both nodes know it")
+        for node in (stage.a, stage.b):
+            answer = stage.ledger.call(node, "before")
+            assert answer["outcome"] == "not_run", answer
+            assert answer["reason"] == "log_unavailable", answer
+        names = [event["event"] for event in stage.a.events()]
+        assert "claims_table_lost" in names, names
+        assert stage.runs("before") == 1
+        stage.control_log(clock_ahead_ms=31 * 24 * 3600 * 1000 + 60000)
+        assert http_json(stage.log_port, "POST", "/v1/streams/claims.push/records",
+                         EMPTY_BATCH)[0] == 200
+        for node in (stage.a, stage.b):
+            stage.wait_claims(node)
+        stage.finish()
+
+
 def drain(build):
     """A node drains and ends while calls claim their keys."""
     with Stage(build) as stage:
@@ -283,12 +318,15 @@
         stage.finish()
 
 
-CASES = [retention, race, resend_after_timeout, log_down, lost_answers, delayed_appends, slow_log,
-         stopped_node, replaced_node, killed_server, refused_connection, drain,
-         cancel_race, killed_entry]
+CASES = [lost_table, retention, race, resend_after_timeout, log_down, lost_answers,
+         delayed_appends, slow_log, stopped_node, replaced_node, killed_server,
+         refused_connection, drain, cancel_race, killed_entry]
 
 SEED = 7
 
+# A claims record without entries, in CBOR: it moves the log's clock for its readers.
+EMPTY_BATCH = b"\x81\x01"
+
 
 def run_case(case, build):
     start = time.monotonic()
