Share limits in large domains through collectors

Cause: the share holder of a row that all nodes of a domain see sent each of them a grant every 500 ms: 77,280 bytes/s at the design size, against a budget of 4,096. Ruled out: the share holder as a collector of its own row, since both roles together pass the budget; dividing a grant at the next timer of the collector, which would make a share up to 500 ms older; telling the roles apart by the sender alone, since nodes see different numbers of live nodes for a while. Change: from 64 live nodes of a domain on, nodes report to one of round(sqrt(N)) collectors. The decisions of a node in all roles are one module with time handed in (overload/share_exchange); node/limit_control connects it with members, sheet and links. demand_report and share_grant name the roles they travel between. Below 64 nodes the messages go as before. No run had 64 real nodes in a domain. Conclusion: both roles are within the budget for one row.

--- a/scripts/capacity_model.py
+++ b/scripts/capacity_model.py
@@ -102,6 +102,8 @@
     servers_in_domain = math.ceil(nodes / size["services"] / domains)
     return {
         "per_domain": per_domain,
+        # Below 64 nodes of a domain the share holder grants to each node itself.
+        "collectors": round(math.sqrt(per_domain)) if per_domain >= 64 else per_domain,
         "calls": calls,
         "roots": calls / size["calls_per_root"],
         "links": LINK_DIRECTIONS * size["services_called_by_a_service"] * servers_in_domain,
@@ -164,6 +166,8 @@
     # either frame on half of its links. A busy link needs no ping.
     link_bytes = d["links"] * (frames["ping"] + frames["pong"] + 2 * header)
     rows = size["limited_rows_seen_by_a_node"]
+    report = frames["demand_report"] + header
+    grant = frames["share_grant"] + header
     return [
         Row("passing on: links", "nodes of the services called", "encoded frames", 1.0,
             "one link per pair of nodes that call each other, ping after 500 ms of silence",
@@ -177,13 +181,14 @@
             change="a level goes on a reply only when it changed, or 100 ms after the last "
                    "one on this link"),
         Row("limits: a node", "limited rows seen", "encoded frames", 1.0,
-            "demand to the share holder every 500 ms",
-            sent=2 * rows * (frames["demand_report"] + frames["share_grant"] + 2 * header)),
-        Row("limits: holder of a row that all see", "nodes of a domain", "encoded frames", 1.0,
-            "rendezvous hash picks one holder a row",
-            sent=2 * d["per_domain"] * (frames["share_grant"] + header),
-            change="nodes report to one of sqrt(N) collectors, or less often the smaller "
-                   "their demand"),
+            "demand to a collector every 500 ms, when it changes by a tenth each time",
+            sent=2 * rows * (report + grant)),
+        Row("limits: holder of a row that all see", "square root of the nodes of a domain",
+            "encoded frames", 1.0, "grants to the collectors of the row every 500 ms",
+            sent=2 * d["collectors"] * grant),
+        Row("limits: collector of a row that all see", "square root of the nodes of a domain",
+            "encoded frames", 1.0, "a sum to the share holder and grants to its nodes every "
+            "500 ms", sent=2 * (report + grant * d["per_domain"] / d["collectors"])),
         Row("entry: root ledger", "roots in 30 s", "ledgers of 1,000 to 20,000 roots",
             lines["ledger_heap"].reach(d["roots"] * 30), "sharded call table",
             core=d["roots"] * _last(slopes["sheet"], "lookup_s"),
--- a/src/capacity/tables.cpp
+++ b/src/capacity/tables.cpp
@@ -246,9 +246,11 @@
         {"hello", size_of(hello_message{node_id("node-1234"), incarnation(1ULL << 60),
                                         domain_name("domain-1"), sheet_version(13'000)})},
         {"demand_report",
-         size_of(demand_report_message{1234, domain_name("domain-1"), call_rate(123.4)})},
+         size_of(demand_report_message{1234, domain_name("domain-1"), call_rate(123.4),
+                                       share_hop::collector_to_holder, 37})},
         {"share_grant",
-         size_of(share_grant_message{1234, call_rate(123.4), milliseconds(2000)})},
+         size_of(share_grant_message{1234, call_rate(123.4), milliseconds(2000),
+                                     share_hop::collector_to_holder})},
         {"strike", size_of(strike_message{record})},
         {"sheet_pull", size_of(sheet_pull_message{sheet_version(13'000)})},
         {"level_on_reply", size_of(reply) - reply_alone}};
--- a/src/codec/messages.cpp
+++ b/src/codec/messages.cpp
@@ -116,12 +116,14 @@
 
     json operator()(const demand_report_message& m) const
     {
-        return make(frame_type::demand_report, m.row, m.domain.get(), m.rate.get());
+        return make(frame_type::demand_report, m.row, m.domain.get(), m.rate.get(),
+                    static_cast<int>(m.hop), m.nodes);
     }
 
     json operator()(const share_grant_message& m) const
     {
-        return make(frame_type::share_grant, m.row, m.rate.get(), m.lease.count());
+        return make(frame_type::share_grant, m.row, m.rate.get(), m.lease.count(),
+                    static_cast<int>(m.hop));
     }
 
     json operator()(const strike_message& m) const
@@ -336,6 +338,11 @@
     return m;
 }
 
+share_hop read_hop(field_reader& in)
+{
+    return in.number<share_hop>(0, static_cast<int>(share_hop::collector_to_holder));
+}
+
 link_message read_control_message(frame_type type, field_reader& in)
 {
     constexpr std::int64_t max_32 = std::numeric_limits<std::uint32_t>::max();
@@ -372,6 +379,8 @@
         m.row = in.number<std::uint32_t>(0, max_32);
         m.domain = domain_name(in.text());
         m.rate = call_rate(in.real());
+        m.hop = read_hop(in);
+        m.nodes = in.number<std::uint32_t>(1, max_32);
         return m;
     }
     case frame_type::share_grant:
@@ -380,6 +389,7 @@
         m.row = in.number<std::uint32_t>(0, max_32);
         m.rate = call_rate(in.real());
         m.lease = milliseconds(in.number<std::int64_t>());
+        m.hop = read_hop(in);
         return m;
     }
     case frame_type::strike:
--- a/src/codec/messages_test.cpp
+++ b/src/codec/messages_test.cpp
@@ -70,6 +70,27 @@
     cr_assert(decoded.levels.size() == 1 && decoded.levels[0].cut_fraction == 512);
 }
 
+// Guards against a sum of a collector that counts as the demand of one node, and against
+// a grant that reaches the wrong role of its receiver.
+Test(codec_messages, share_messages_round_trip)
+{
+    const demand_report_message report{7, domain_name("a"), call_rate(12.5),
+                                       share_hop::collector_to_holder, 37};
+    const auto read = decode_frame(encode_frame({1, report}));
+    const auto& demand = std::get<demand_report_message>(read.message);
+    cr_assert(demand.hop == report.hop && demand.nodes == 37);
+    const share_grant_message grant{7, call_rate(12.5), milliseconds(2000),
+                                    share_hop::node_to_collector};
+    const auto granted = decode_frame(encode_frame({1, grant}));
+    cr_assert(std::get<share_grant_message>(granted.message).hop == grant.hop);
+    auto bad = report;
+    bad.hop = static_cast<share_hop>(3);
+    cr_assert(is_rejected(encode_frame({1, bad})));
+    bad = report;
+    bad.nodes = 0;
+    cr_assert(is_rejected(encode_frame({1, bad})));
+}
+
 // Guards against a crash or a cleared mark that is lost between nodes.
 Test(codec_messages, quarantine_record_round_trip)
 {
--- a/src/include/fescueridge/codec/messages.hpp
+++ b/src/include/fescueridge/codec/messages.hpp
@@ -104,12 +104,24 @@
     std::string content;
 };
 
-/// Demand for a limited row of the sheet, seen by the sender.
+/// The two parties of a demand report and of the grant that answers it. A node may be a
+/// node, a collector and the share holder of one row at the same time.
+enum class share_hop : std::uint8_t
+{
+    node_to_holder,
+    node_to_collector,
+    collector_to_holder
+};
+
+/// Demand for a limited row of the sheet, seen by the sender or by the nodes that report
+/// to it.
 struct demand_report_message
 {
     std::uint32_t row = 0;
     domain_name domain;
     call_rate rate;
+    share_hop hop = share_hop::node_to_holder;
+    std::uint32_t nodes = 1; ///< Nodes behind the rate.
 };
 
 /// Share of a limited row that the receiver may use until the lease ends.
@@ -118,6 +130,7 @@
     std::uint32_t row = 0;
     call_rate rate;
     milliseconds lease{0};
+    share_hop hop = share_hop::node_to_holder; ///< That of the report it answers.
 };
 
 /// What the sender knows of a request that was running when a backend server died.
--- a/src/include/fescueridge/node/limit_control.hpp
+++ b/src/include/fescueridge/node/limit_control.hpp
@@ -1,22 +1,20 @@
 #pragma once
 
 #include <functional>
-#include <map>
-#include <memory>
-#include <mutex>
+#include <optional>
+#include <vector>
 
 #include "fescueridge/base/types.hpp"
 #include "fescueridge/codec/messages.hpp"
 #include "fescueridge/node/peer_table.hpp"
 #include "fescueridge/node/sheet_holder.hpp"
-#include "fescueridge/overload/limits.hpp"
+#include "fescueridge/overload/share_exchange.hpp"
 
 namespace fescueridge
 {
 
-/// Enforces the limits of the sheet together with the other nodes: reports demand to the
-/// share holder of each row, and is the share holder of the rows that rendezvous hashing
-/// gives to this node. Thread safe.
+/// Enforces the limits of the sheet together with the other nodes: connects the decisions
+/// of share_exchange with the members, the sheet in force and the links. Thread safe.
 class limit_control
 {
 public:
@@ -39,25 +37,22 @@
     /// Takes a demand report of a node of the own domain, or of another share holder.
     void on_demand(const node_id& from, const demand_report_message& report);
 
-    /// Takes a share from the share holder.
-    void on_grant(const share_grant_message& grant);
+    /// Takes a share from the share holder or a collector.
+    void on_grant(const node_id& from, const share_grant_message& grant);
 
     /// Forgets rows and shares: a new sheet is in force.
     void clear();
 
 private:
-    node_id holder_of(std::uint32_t row, const domain_name& domain) const;
-    share_holder* holder_for(std::uint32_t row);
-    void record_report(const node_id& from, const demand_report_message& report);
+    share_view make_view() const;
+    std::optional<limited_row> find_row(std::uint32_t row) const;
+    void send_all(const std::vector<share_send>& messages);
 
-    const node_id self_;
     const domain_name domain_;
     const peer_table& peers_;
     const sheet_holder& sheets_;
     const sender send_;
-    limit_table table_;
-    std::mutex mutex_;
-    std::map<std::uint32_t, share_holder> held_; // rows this node is the share holder of
+    share_exchange shares_;
 };
 
 } // namespace fescueridge
--- a/src/include/fescueridge/overload/limits.hpp
+++ b/src/include/fescueridge/overload/limits.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "fescueridge/base/clock.hpp"
@@ -99,8 +100,49 @@
     share_grant_message message;
 };
 
-/// Divides one domain's share of one row among its nodes, and lends unused share to other
-/// domains. Held by the node that choose_by_rendezvous picks. Not thread safe.
+/// Demand of a node, or of the nodes that report to a collector.
+struct share_demand
+{
+    double rate = 0; ///< Calls per second.
+    std::uint32_t nodes = 1;
+};
+
+/// Divides a share of calls per second and returns the parts in the order of `demands`.
+/// Each gets its demand and an even part of the rest, or a part in proportion to demand
+/// when the demand is over the share. Even means even among nodes.
+std::vector<double> divide_share(const std::vector<share_demand>& demands, double share);
+
+/// Sums the demand of some nodes of a large domain for one row, and divides the grant
+/// that the share holder answers with. Not thread safe.
+class share_collector
+{
+public:
+    /// Records the demand of a node.
+    void on_node_demand(const node_id& node, call_rate rate, time_point now);
+
+    /// Returns the report for the share holder, or nothing without recent reports.
+    std::optional<demand_report_message> sum(std::uint32_t row, const domain_name& own,
+                                             time_point now) const;
+
+    /// Divides a grant of the share holder. The parts have the lease of that grant.
+    std::vector<node_grant> divide(const share_grant_message& grant,
+                                   time_point now) const;
+
+    /// Returns true when no node reported demand lately.
+    bool idle(time_point now) const;
+
+private:
+    struct report
+    {
+        double rate = 0;
+        time_point at;
+    };
+    std::map<node_id, report> nodes_;
+};
+
+/// Divides one domain's share of one row among its nodes or their collectors, and lends
+/// unused share to other domains. Held by the node that choose_by_rendezvous picks. Not
+/// thread safe.
 class share_holder
 {
 public:
@@ -110,8 +152,10 @@
     /// Takes over a changed limit or number of domains.
     void configure(call_rate limit, std::uint32_t domains);
 
-    /// Records the demand of a node of the own domain.
-    void on_node_demand(const node_id& node, call_rate rate, time_point now);
+    /// Records the demand of a node of the own domain, or of the nodes of a collector.
+    void on_node_demand(const node_id& node, call_rate rate, time_point now,
+                        share_hop hop = share_hop::node_to_holder,
+                        std::uint32_t nodes = 1);
 
     /// Records the total demand of another domain, from its share holder.
     void on_domain_demand(const domain_name& domain, call_rate rate, time_point now);
@@ -125,8 +169,8 @@
     /// Returns the rate that the own domain may use now.
     call_rate domain_share(time_point now) const;
 
-    /// Returns a grant for each node with a recent report. While the domain borrows, the
-    /// lease ends when the reports that the loan rests on are a lease old.
+    /// Returns a grant for each node or collector with a recent report. While the domain
+    /// borrows, the lease ends when the reports that the loan rests on are a lease old.
     std::vector<node_grant> grants(time_point now) const;
 
     /// Returns true when nobody reported demand lately, and the holder can be dropped.
@@ -137,7 +181,9 @@
     {
         double rate = 0;
         time_point at;
+        std::uint32_t nodes = 1;
     };
+    using reporter = std::pair<node_id, share_hop>;
     struct borrowing
     {
         double rate = 0;
@@ -152,7 +198,7 @@
     domain_name own_;
     double limit_;
     std::uint32_t domains_;
-    std::map<node_id, report> nodes_;
+    std::map<reporter, report> nodes_;
     std::map<domain_name, report> others_;
     std::deque<report> announced_; // own demand as sent, oldest first
 };
--- a/src/node/node_links.cpp
+++ b/src/node/node_links.cpp
@@ -82,9 +82,9 @@
     limits_.on_demand(from->peer().node, report);
 }
 
-void node::impl::take(const link_ptr& /*from*/, const share_grant_message& grant)
+void node::impl::take(const link_ptr& from, const share_grant_message& grant)
 {
-    limits_.on_grant(grant);
+    limits_.on_grant(from->peer().node, grant);
 }
 
 void node::impl::take(const link_ptr& /*from*/, const strike_message& strike)
--- a/src/overload/limits.cpp
+++ b/src/overload/limits.cpp
@@ -186,7 +186,11 @@
                 it = part.rows.erase(it);
                 continue;
             }
-            reports.push_back({it->first, own, it->second.demand.rate(now)});
+            demand_report_message report;
+            report.row = it->first;
+            report.domain = own;
+            report.rate = it->second.demand.rate(now);
+            reports.push_back(std::move(report));
             ++it;
         }
     }
--- /dev/null
+++ b/src/overload/share_exchange.cpp
@@ -0,0 +1,299 @@
+#include "fescueridge/overload/share_exchange.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <fmt/format.h>
+
+#include "fescueridge/overload/rendezvous.hpp"
+
+namespace fescueridge
+{
+
+namespace
+{
+
+// A smaller change of demand waits for the next report that is due.
+constexpr double small_change = 0.1;
+
+// A node with unchanged demand reports twice in a lease, so that one report may be lost.
+constexpr milliseconds unchanged_report_interval = share_lease / 2;
+
+std::string row_key(std::uint32_t row)
+{
+    return fmt::format("limit:{}", row);
+}
+
+} // namespace
+
+share_exchange::share_exchange(node_id self, domain_name domain, share_view view)
+    : self_(std::move(self)), domain_(std::move(domain)), view_(std::move(view))
+{
+}
+
+bool share_exchange::admit(std::uint32_t row, call_rate limit, limit_scope scope,
+                           time_point now)
+{
+    return table_.admit(row, limit, scope, now);
+}
+
+node_id share_exchange::holder_of(std::uint32_t row, const domain_name& domain) const
+{
+    const auto chosen = choose_by_rendezvous(row_key(row), view_.live_nodes(domain), 1);
+    return chosen.empty() ? node_id() : chosen.front();
+}
+
+share_exchange::destination
+share_exchange::destination_of(std::uint32_t row, const std::vector<node_id>& live) const
+{
+    if (live.empty())
+    {
+        return {};
+    }
+    if (live.size() < collector_threshold)
+    {
+        return {choose_by_rendezvous(row_key(row), live, 1).front(),
+                share_hop::node_to_holder};
+    }
+    // The share holder is not a collector as well: both roles in one node would send 4.1
+    // KB/s at the design size.
+    const auto count = static_cast<std::size_t>(
+        std::lround(std::sqrt(static_cast<double>(live.size()))));
+    auto collectors = choose_by_rendezvous(row_key(row), live, count + 1);
+    collectors.erase(collectors.begin());
+    const std::string own_key = fmt::format("collector:{}:{}", row, self_.get());
+    return {choose_by_rendezvous(own_key, collectors, 1).front(),
+            share_hop::node_to_collector};
+}
+
+bool share_exchange::needs_report(const demand_report_message& report,
+                                  const destination& to, time_point now)
+{
+    const double rate = report.rate.get();
+    const auto found = reported_.find(report.row);
+    if (to.hop == share_hop::node_to_collector && found != reported_.end())
+    {
+        const last_report& last = found->second;
+        const bool same = last.to.node == to.node && last.to.hop == to.hop &&
+                          std::abs(rate - last.rate) <= small_change * last.rate;
+        if (same && now - last.at < unchanged_report_interval)
+        {
+            return false;
+        }
+    }
+    reported_[report.row] = {to, rate, now};
+    return true;
+}
+
+share_holder* share_exchange::holder_for(std::uint32_t row)
+{
+    const auto found = held_.find(row);
+    if (found != held_.end())
+    {
+        return &found->second;
+    }
+    const auto known = view_.row(row);
+    if (!known)
+    {
+        return nullptr; // the sender has another version of the sheet
+    }
+    return &held_.try_emplace(row, row, domain_, known->limit, known->domains)
+                .first->second;
+}
+
+void share_exchange::on_demand(const node_id& from, const demand_report_message& report,
+                               time_point now)
+{
+    const std::lock_guard lock(mutex_);
+    if (report.domain == domain_ && report.hop == share_hop::node_to_collector)
+    {
+        if (view_.row(report.row))
+        {
+            collects_[report.row].on_node_demand(from, report.rate, now);
+        }
+        return;
+    }
+    share_holder* holder = holder_for(report.row);
+    if (holder == nullptr)
+    {
+        return;
+    }
+    if (report.domain == domain_)
+    {
+        holder->on_node_demand(from, report.rate, now, report.hop, report.nodes);
+    }
+    else
+    {
+        holder->on_domain_demand(report.domain, report.rate, now);
+    }
+}
+
+void share_exchange::deliver(std::vector<share_send>& out, const node_id& to,
+                             const demand_report_message& report, time_point now)
+{
+    if (to == self_)
+    {
+        on_demand(self_, report, now);
+    }
+    else if (!to.get().empty())
+    {
+        out.push_back({to, report});
+    }
+}
+
+void share_exchange::deliver(std::vector<share_send>& out, const node_id& to,
+                             const share_grant_message& grant, time_point now)
+{
+    if (to != self_)
+    {
+        out.push_back({to, grant});
+        return;
+    }
+    for (share_send& next : on_grant(self_, grant, now))
+    {
+        out.push_back(std::move(next));
+    }
+}
+
+void share_exchange::report_own(std::vector<share_send>& out, time_point now)
+{
+    const auto live = view_.live_nodes(domain_);
+    for (demand_report_message report : table_.demand(domain_, now))
+    {
+        const destination to = destination_of(report.row, live);
+        bool due = false;
+        {
+            const std::lock_guard lock(mutex_);
+            due = needs_report(report, to, now);
+        }
+        if (due)
+        {
+            report.hop = to.hop;
+            deliver(out, to.node, report, now);
+        }
+    }
+}
+
+void share_exchange::report_sums(std::vector<share_send>& out, time_point now)
+{
+    std::vector<demand_report_message> sums;
+    {
+        const std::lock_guard lock(mutex_);
+        for (auto it = collects_.begin(); it != collects_.end();)
+        {
+            if (const auto sum = it->second.sum(it->first, domain_, now))
+            {
+                sums.push_back(*sum);
+            }
+            it = it->second.idle(now) ? collects_.erase(it) : std::next(it);
+        }
+    }
+    for (const demand_report_message& sum : sums)
+    {
+        deliver(out, holder_of(sum.row, domain_), sum, now);
+    }
+}
+
+std::vector<node_grant> share_exchange::collect_grants(time_point now)
+{
+    std::vector<node_grant> grants;
+    const std::lock_guard lock(mutex_);
+    for (auto it = held_.begin(); it != held_.end();)
+    {
+        const auto fresh = it->second.grants(now);
+        grants.insert(grants.end(), fresh.begin(), fresh.end());
+        it = it->second.idle(now) ? held_.erase(it) : std::next(it);
+    }
+    return grants;
+}
+
+std::vector<share_send> share_exchange::report(time_point now)
+{
+    std::vector<share_send> out;
+    report_own(out, now);
+    report_sums(out, now);
+    for (const node_grant& grant : collect_grants(now))
+    {
+        deliver(out, grant.node, grant.message, now);
+    }
+    return out;
+}
+
+std::vector<share_send> share_exchange::exchange_domains(time_point now)
+{
+    std::vector<demand_report_message> totals;
+    {
+        const std::lock_guard lock(mutex_);
+        for (auto& [row, holder] : held_)
+        {
+            totals.push_back(holder.own_demand(now));
+        }
+    }
+    std::vector<share_send> out;
+    for (const domain_name& other : view_.domains())
+    {
+        if (other == domain_)
+        {
+            continue;
+        }
+        for (const demand_report_message& total : totals)
+        {
+            deliver(out, holder_of(total.row, other), total, now);
+        }
+    }
+    return out;
+}
+
+bool share_exchange::is_current(const node_id& from, const share_grant_message& grant)
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = reported_.find(grant.row);
+    return found != reported_.end() && found->second.to.node == from &&
+           found->second.to.hop == grant.hop;
+}
+
+std::vector<share_send> share_exchange::on_grant(const node_id& from,
+                                                 const share_grant_message& grant,
+                                                 time_point now)
+{
+    if (grant.hop == share_hop::node_to_holder)
+    {
+        table_.grant(grant, now);
+        return {};
+    }
+    if (grant.hop == share_hop::node_to_collector)
+    {
+        // A collector that resumes after a pause divides an old grant again, when its
+        // nodes may already have a share from another one.
+        if (is_current(from, grant))
+        {
+            table_.grant(grant, now);
+        }
+        return {};
+    }
+    std::vector<node_grant> parts;
+    {
+        const std::lock_guard lock(mutex_);
+        const auto found = collects_.find(grant.row);
+        if (found != collects_.end())
+        {
+            parts = found->second.divide(grant, now);
+        }
+    }
+    std::vector<share_send> out;
+    for (const node_grant& part : parts)
+    {
+        deliver(out, part.node, part.message, now);
+    }
+    return out;
+}
+
+void share_exchange::clear()
+{
+    table_.clear();
+    const std::lock_guard lock(mutex_);
+    held_.clear();
+    collects_.clear();
+    reported_.clear();
+}
+
+} // namespace fescueridge
--- a/src/overload/share_holder.cpp
+++ b/src/overload/share_holder.cpp
@@ -8,10 +8,6 @@
 namespace
 {
 
-// Part of a domain's share that is divided evenly, so that a node whose demand begins
-// between two reports does not start with nothing.
-constexpr double even_part = 0.02;
-
 // Announcements kept; a report is at most a lease old, and one is sent each second.
 constexpr std::size_t max_announced = 8;
 
@@ -50,9 +46,10 @@
     domains_ = std::max(1U, domains);
 }
 
-void share_holder::on_node_demand(const node_id& node, call_rate rate, time_point now)
+void share_holder::on_node_demand(const node_id& node, call_rate rate, time_point now,
+                                  share_hop hop, std::uint32_t nodes)
 {
-    nodes_[node] = {std::max(0.0, rate.get()), now};
+    nodes_[{node, hop}] = {std::max(0.0, rate.get()), now, std::max(1U, nodes)};
     for (auto it = nodes_.begin(); it != nodes_.end();)
     {
         it = now - it->second.at > share_lease ? nodes_.erase(it) : std::next(it);
@@ -64,14 +61,14 @@
 {
     if (domain != own_)
     {
-        others_[domain] = {std::max(0.0, rate.get()), now};
+        others_[domain] = {std::max(0.0, rate.get()), now, 1};
     }
 }
 
 double share_holder::own_rate(time_point now) const
 {
     double total = 0;
-    for (const auto& [node, demand] : nodes_)
+    for (const auto& [from, demand] : nodes_)
     {
         if (now - demand.at <= share_lease)
         {
@@ -84,7 +81,7 @@
 demand_report_message share_holder::own_demand(time_point now)
 {
     const double rate = own_rate(now);
-    announced_.push_back({rate, now});
+    announced_.push_back({rate, now, 1});
     while (announced_.size() > max_announced)
     {
         announced_.pop_front();
@@ -142,30 +139,25 @@
 
 std::vector<node_grant> share_holder::grants(time_point now) const
 {
-    std::vector<node_grant> result;
-    const double total = own_rate(now);
-    std::vector<const node_id*> fresh;
-    for (const auto& [node, demand] : nodes_)
+    std::vector<reporter> fresh;
+    std::vector<share_demand> demands;
+    for (const auto& [from, demand] : nodes_)
     {
         if (now - demand.at <= share_lease)
         {
-            fresh.push_back(&node);
+            fresh.push_back(from);
+            demands.push_back({demand.rate, demand.nodes});
         }
     }
-    const double share = domain_share(now).get();
     const auto borrowed = loan(now);
     const milliseconds lease =
         borrowed.rate > 0 ? share_lease - (now - borrowed.oldest_report) : share_lease;
-    for (const auto* node : fresh)
+    const auto parts = divide_share(demands, domain_share(now).get());
+    std::vector<node_grant> result;
+    for (std::size_t i = 0; i < fresh.size(); ++i)
     {
-        const double even = 1.0 / static_cast<double>(fresh.size());
-        const double part = total > 0 ? nodes_.at(*node).rate / total : even;
-        // Below the limit each node gets its demand and an even part of the rest: a node
-        // with few calls often reports none, and must not be held to its last report.
-        const double rate = total < share
-                                ? nodes_.at(*node).rate + (share - total) * even
-                                : share * (even_part * even + (1 - even_part) * part);
-        result.push_back({*node, {row_, call_rate{rate}, lease}});
+        const auto& [node, hop] = fresh[i];
+        result.push_back({node, {row_, call_rate{parts[i]}, lease, hop}});
     }
     return result;
 }
