--- a/src/overload/share_exchange_test.cpp
+++ b/src/overload/share_exchange_test.cpp
@@ -362,3 +362,80 @@
     cr_expect_geq(all.sent_by(holder) / 5, 2 * (collector_threshold - 2));
     cr_expect_leq(all.sent_by(all.roles(2).at(1)) / 5, 2);
 }
+
+// Guards against an even part that is even among collectors, whatever number of nodes
+// stands behind each.
+Test(share_exchange, the_even_part_is_even_among_nodes)
+{
+    const auto idle = divide_share({{0, 9}, {0, 1}}, 100);
+    cr_expect_float_eq(idle.at(0), 90, 1e-9);
+    cr_expect_float_eq(idle.at(1), 10, 1e-9);
+    const auto busy = divide_share({{1'000, 9}, {0, 1}}, 100);
+    cr_expect_float_eq(busy.at(1), 0.2, 1e-9);
+}
+
+namespace
+{
+
+/// One node of a domain whose live nodes the test sets.
+struct lone_node
+{
+    lone_node()
+    {
+        for (std::size_t i = 0; i <= collector_threshold; ++i)
+        {
+            live.push_back(fleet::name(i));
+        }
+    }
+
+    bool admits(int ms)
+    {
+        return shares.admit(row, decided.limit, {1, collector_threshold}, at(ms));
+    }
+
+    std::vector<node_id> live;
+    limited_row decided{call_rate{limit}, 1};
+    share_exchange shares{fleet::name(0), domain_name{"0"},
+                          share_view{[this](const domain_name&) { return live; },
+                                     [] { return std::vector{domain_name{"0"}}; },
+                                     [this](std::uint32_t)
+                                     {
+                                         return decided;
+                                     }}};
+};
+
+} // namespace
+
+// Guards against a share of a collector that the node does not report to any more: after
+// a pause it would be added to the share from the present one.
+Test(share_exchange, a_grant_of_a_former_collector_is_ignored)
+{
+    lone_node own;
+    own.admits(0);
+    const auto sent = own.shares.report(at(1));
+    cr_assert_eq(sent.size(), 1);
+    const share_grant_message none{row, call_rate{0}, share_lease,
+                                   share_hop::node_to_collector};
+    own.shares.on_grant(node_id{"former"}, none, at(2));
+    own.admits(3); // under any rate the bucket keeps one call
+    cr_expect(own.admits(1'000), "a grant of nothing by a former collector counts");
+    own.shares.on_grant(sent.front().to, none, at(1'001));
+    own.admits(1'002);
+    cr_expect_not(own.admits(1'900), "a grant of the present collector does not count");
+}
+
+// Guards against a node that waits with its unchanged demand while its new collector
+// knows nothing of it, and against reports that repeat unchanged demand.
+Test(share_exchange, a_new_collector_gets_unchanged_demand_at_once)
+{
+    lone_node own;
+    own.admits(0);
+    const auto first = own.shares.report(at(1'100));
+    cr_assert_eq(first.size(), 1);
+    cr_expect(own.shares.report(at(1'600)).empty());
+    const node_id former = first.front().to;
+    own.live.erase(std::find(own.live.begin(), own.live.end(), former));
+    const auto second = own.shares.report(at(1'700));
+    cr_assert_eq(second.size(), 1);
+    cr_expect(second.front().to != former);
+}
