Keep the burst bound of priority 0 with weigh = recovery

Cause: with the sheet setting weigh = recovery the bound of the queue time falls from 100 to 20 ms, and priority 0, which has no other bound, fell with it. At 10 times the load its calls were dropped from the queue (overload, overload_downstream). Change: priority 0 keeps 100 ms; the others have 20 ms as before. The default setting is not touched. The unit tests of overload pass.

--- a/src/overload/admission.cpp
+++ b/src/overload/admission.cpp
@@ -10,9 +10,7 @@
 {
 
 constexpr std::uint32_t exclusive_lane = class_count;
-
-// Lanes of the classes below priority 0.
-constexpr std::uint32_t first_lower_lane = 2;
+constexpr std::uint32_t first_lower_lane = 2; // the first below priority 0
 
 // Bounds of the queue time: a standing queue only adds delay, a burst may be served.
 constexpr microseconds standing_target = milliseconds{5};
@@ -259,7 +257,9 @@
         }
         drop(where, refusal_reason::deadline, changes);
     }
-    drop_over(burst_bound(), 0, 0, now, changes);
+    drop_over(burst_bound(), first_lower_lane, 0, now, changes);
+    // `weigh` = recovery must not cost priority 0: at 10 times the load it lost over 1%.
+    drop_over(std::max(burst_bound(), burst_goodput), 0, 0, now, changes);
     // Calls that wait for an exclusive call do not show that the server is overloaded.
     if (holding_back())
     {
--- a/src/overload/admission_test.cpp
+++ b/src/overload/admission_test.cpp
@@ -119,6 +119,17 @@
     }
 }
 
+// Guards against `weigh` = recovery at the cost of priority 0, and against priority 0
+// without any bound.
+Test(overload_admission, recovery_keeps_the_burst_bound_of_priority_0)
+{
+    admission_queue queue{fixed_limit{1}, {weigh_goal::recovery, 0}};
+    queue.offer(call(1, 0, 0), at(0));
+    queue.offer(call(2, 0, 0), at(0));
+    cr_assert(queue.poll(at(100)).dropped.empty());
+    cr_assert_eq(queue.poll(at(101)).dropped.size(), 1);
+}
+
 // Guards against a standing queue: when calls wait for long, the bound falls to 5 ms for
 // all but priority 0.
 Test(overload_admission, standing_queue_falls_to_the_target)
