--- a/testsuite/malformed_input/targets.cpp
+++ b/testsuite/malformed_input/targets.cpp
@@ -14,6 +14,7 @@
 #include "fescueridge/state/claims.hpp"
 #include "fescueridge/state/config_state.hpp"
 #include "fescueridge/state/contacts_log.hpp"
+#include "fescueridge/state/content_difference.hpp"
 #include "http_message.hpp"
 #include "wire.hpp"
 
@@ -113,7 +114,8 @@
         sheet_push_message{sheet_version(3), log_offset(9), "kind,caller"},
         demand_report_message{4, domain_name("a"), call_rate(12.5)},
         share_grant_message{4, call_rate(12.5), milliseconds(2000)},
-        strike_message{sample_quarantine()}};
+        strike_message{sample_quarantine()},
+        sheet_delta_message{{{sheet_version(3), log_offset(9), "anna", "difference"}}}};
     std::vector<std::string> result;
     result.reserve(messages.size());
     for (const link_message& message : messages)
@@ -132,10 +134,19 @@
     claims_carry carry;
     carry.as_of = log_offset(4);
     carry.wall_ms = 1'700'000'000'000;
-    carry.keys = {{key_hash(1), call, true, 1'700'000'100'000},
-                  {key_hash(2), call, false, 1'700'000'100'000}};
+    carry.keys = {{key_hash(2), call, 1'700'000'100'000}};
+    carry.done = {{472'223, {1, 5, 9}}, {472'224, {3}}};
     carry.spent = {{call, 1'700'000'100'000}};
-    return {encode_claims_record(batch), encode_claims_record(carry)};
+    return {encode_claims_record(batch), encode_claims_record(carry),
+            encode_claims_record(claims_lost{log_offset(4), milliseconds(1000)})};
+}
+
+constexpr const char* base_content = "kind,caller\nrule,a\nrule,b\nrule,c\n";
+constexpr const char* changed_content = "kind,caller\nrule,a\nrule,x\nrule,c\n";
+
+content_difference sample_difference()
+{
+    return find_difference(base_content, changed_content);
 }
 
 std::vector<std::string> config_samples()
@@ -143,7 +154,9 @@
     return {encode_config_record(
                 submit_record{"s1", sheet_version(1), "anna", "kind,caller\n"}),
             encode_config_record(
-                sheet_carry_record{sheet_version(2), log_offset(1), "kind,caller\n"})};
+                sheet_carry_record{sheet_version(2), log_offset(1), "kind,caller\n"}),
+            encode_config_record(submit_delta_record{"s2", sheet_version(2), "anna",
+                                                     sample_difference()})};
 }
 
 std::vector<std::string> datagram_samples()
@@ -293,6 +306,30 @@
     return {"call", input_form::bytes, {"/call/till-pricing/price/7?x=1\n250"}, check};
 }
 
+/// Applies mutated differences: the result must have the hash that they name.
+target difference_target()
+{
+    const auto check = [](const std::string& input, mutator&)
+    {
+        try
+        {
+            const content_difference difference = decode_difference(input);
+            const std::string result = apply_difference(base_content, difference);
+            if (content_hash(result) != difference.result_hash)
+            {
+                throw property_error("the result has another hash");
+            }
+        }
+        catch (const error&)
+        {
+            return false;
+        }
+        return true;
+    };
+    return {
+        "difference", input_form::cbor, {encode_difference(sample_difference())}, check};
+}
+
 target sheet_target()
 {
     const auto check = [](const std::string& input, mutator&)
@@ -353,6 +390,7 @@
         [](const submit_request& value) { return to_body(value); }));
     result.push_back(read_only<codec_error>("event line", input_form::json,
                                             {sample_event}, parse_event_line));
+    result.push_back(difference_target());
     result.push_back(sheet_target());
     result.push_back(call_target());
     result.push_back(http_target(
