Show call, queue and server times in the metrics; start timers at a random phase

Cause: operators saw counts of calls and no times. Nodes that one rollout started in the same second reported demand and ticked in step (docs/CAPACITY.md). Ruled out: events for single slow calls, which would push everything else out of the ring in a surge. A periodic timer first runs after a random part of its interval. Conclusion: an operator can tell waiting from a slow server at the node itself.

--- a/src/include/fescueridge/node/call_ports.hpp
+++ b/src/include/fescueridge/node/call_ports.hpp
@@ -7,6 +7,7 @@
 
 #include "fescueridge/base/error.hpp"
 #include "fescueridge/base/events.hpp"
+#include "fescueridge/base/metrics.hpp"
 #include "fescueridge/node/call_context.hpp"
 #include "fescueridge/node/call_router.hpp"
 #include "fescueridge/node/limit_control.hpp"
@@ -86,6 +87,9 @@
 
     const call_counts& counts() const noexcept { return counts_; }
 
+    /// Returns the time from request to answer of the root requests that ended `ok`.
+    duration_summary call_time() const { return call_time_.summary(clock::now()); }
+
 private:
     struct entry_call;
 
@@ -103,6 +107,7 @@
 
     call_port_parts parts_;
     call_counts counts_;
+    duration_metric call_time_;
 };
 
 } // namespace fescueridge
--- a/src/include/fescueridge/node/server_executor.hpp
+++ b/src/include/fescueridge/node/server_executor.hpp
@@ -9,6 +9,7 @@
 
 #include "fescueridge/base/events.hpp"
 #include "fescueridge/base/experiment.hpp"
+#include "fescueridge/base/metrics.hpp"
 #include "fescueridge/base/server_state.hpp"
 #include "fescueridge/base/types.hpp"
 #include "fescueridge/node/call_context.hpp"
@@ -51,6 +52,8 @@
     std::uint32_t limit = 0;
     std::uint32_t running = 0;
     std::uint32_t queued = 0;
+    duration_summary waited; ///< From arrival to dispatch, a claim of the key included.
+    duration_summary served; ///< At the server, without its downstream calls.
 };
 
 namespace detail
--- a/src/node/call_ports.cpp
+++ b/src/node/call_ports.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "fescueridge/base/stopwatch.hpp"
 #include "fescueridge/overload/quarantine.hpp"
 
 namespace fescueridge
@@ -241,6 +242,7 @@
     bool resend = false;
     retry_allowance allowance;
     std::shared_ptr<call_context> context;
+    stopwatch arrived;
 
     priority rank() const { return decided ? decided->rank : priority(lowest_priority); }
     root_class of() const { return {rank(), resend}; }
@@ -391,7 +393,12 @@
     {
         mark_refusal(entry);
     }
-    parts_.ledger.close(entry.root, entry.context->allowance.left(), ran, clock::now());
+    const time_point now = clock::now();
+    if (reply.result == outcome::ok)
+    {
+        call_time_.add(entry.arrived.elapsed(), now);
+    }
+    parts_.ledger.close(entry.root, entry.context->allowance.left(), ran, now);
     parts_.pressure.observe_root(entry.call.service, entry.call.path,
                                  entry.context->levels(), reply.result == outcome::ok);
 }
--- a/src/node/executor_core.cpp
+++ b/src/node/executor_core.cpp
@@ -429,9 +429,15 @@
 
 executor_load executor_core::load() const
 {
+    const time_point now = clock::now();
+    executor_load result;
+    result.waited = waited_.summary(now);
+    result.served = served_.summary(now);
     const std::lock_guard lock(mutex_);
-    return {queue_.limit(), static_cast<std::uint32_t>(queue_.running()),
-            static_cast<std::uint32_t>(queue_.waiting())};
+    result.limit = queue_.limit();
+    result.running = static_cast<std::uint32_t>(queue_.running());
+    result.queued = static_cast<std::uint32_t>(queue_.waiting());
+    return result;
 }
 
 std::size_t executor_core::in_flight() const
--- a/src/node/executor_core.hpp
+++ b/src/node/executor_core.hpp
@@ -24,6 +24,7 @@
     bool alone = false;
     std::shared_ptr<claim_client> claim; ///< Holds a claim, unless null.
     http_call_handle handle;
+    stopwatch arrived;
     std::optional<stopwatch> at_server; ///< Set once the call was sent to the server.
     bool cancelled = false;
 };
@@ -107,6 +108,8 @@
     std::uint64_t next_number_ = 1;
     std::shared_ptr<claim_client> claims_;
     std::vector<cut_call> cut_calls_;
+    duration_metric waited_;
+    duration_metric served_;
     bool probing_ = false;
 };
 
--- a/src/node/executor_run.cpp
+++ b/src/node/executor_run.cpp
@@ -82,6 +82,7 @@
         leave_queue(work, false);
         return;
     }
+    waited_.add(work->arrived.elapsed(), now);
     ports_.calls.insert(work->call.id, work->context);
     const auto on_done = [self = shared_from_this(), work](http_result result)
     {
@@ -197,6 +198,7 @@
         {
             const auto total = work->at_server->elapsed();
             const auto elsewhere = std::min(total, work->context->downstream.total());
+            served_.add(total - elsewhere, now);
             changes = queue_.finish(work->number, total - elsewhere, success, now);
         }
     }
--- a/src/node/node_operator.cpp
+++ b/src/node/node_operator.cpp
@@ -9,6 +9,12 @@
 namespace
 {
 
+nlohmann::ordered_json to_json(const duration_summary& times)
+{
+    return {{"count", times.count}, {"mean_ms", times.mean}, {"p50_ms", times.p50},
+            {"p95_ms", times.p95},  {"p99_ms", times.p99},   {"max_ms", times.max}};
+}
+
 /// Writes the decision on a submit into the answer to the operator.
 struct decision_writer
 {
@@ -243,6 +249,9 @@
         {"limit", load.limit},
         {"running", load.running},
         {"queued", load.queued},
+        {"call_time", to_json(ports_.call_time())},
+        {"queue_time", to_json(load.waited)},
+        {"server_time", to_json(load.served)},
         {"links", hub_->links().size()},
         {"link_bytes_sent", hub_->counters().bytes_sent},
         {"link_bytes_received", hub_->counters().bytes_received},
--- a/src/node/periodic_timer.hpp
+++ b/src/node/periodic_timer.hpp
@@ -6,12 +6,15 @@
 #include <memory>
 
 #include "fescueridge/base/clock.hpp"
+#include "fescueridge/base/random.hpp"
 
 namespace fescueridge::detail
 {
 
 /// Runs a task at an interval until the io_context stops. The next interval begins when
-/// the task has ended, so a slow task does not pile up.
+/// the task has ended, so a slow task does not pile up. The first run comes after a
+/// random part of the interval: nodes that one rollout started in the same second would
+/// otherwise report, probe and carry in step.
 class periodic_timer : public std::enable_shared_from_this<periodic_timer>
 {
 public:
@@ -24,20 +27,23 @@
     static void start(asio::io_context& io, milliseconds interval,
                       std::function<void()> task)
     {
-        std::make_shared<periodic_timer>(io, interval, std::move(task))->arm();
+        random_engine random(random_seed());
+        std::uniform_int_distribution<milliseconds::rep> phase(1, interval.count());
+        std::make_shared<periodic_timer>(io, interval, std::move(task))
+            ->arm(milliseconds(phase(random)));
     }
 
 private:
-    void arm()
+    void arm(milliseconds wait)
     {
-        timer_.expires_after(interval_);
+        timer_.expires_after(wait);
         timer_.async_wait(
             [self = shared_from_this()](const asio::error_code& problem)
             {
                 if (!problem)
                 {
                     self->task_();
-                    self->arm();
+                    self->arm(self->interval_);
                 }
             });
     }
