Let a test wait until a node itself runs calls with a key

Before that node knows its own server, another node runs its calls, so wait_claims was satisfied too early, and the next call met a claims table that was still being read. Ruled out: the lost-table record; no node wrote one. Change: wait_claims also wants an execution at the node's own server.

--- a/testsuite/records.py
+++ b/testsuite/records.py
@@ -140,9 +140,18 @@
     def wait_claims(self, node, seconds=20):
         """Waits until a node that has a backend server runs calls with a key by itself."""
         number = iter(range(10 ** 6))
-        wait_until(lambda: self.ledger.call(
-            node, "ready-%s-%s-%d" % (node.name, time.monotonic_ns(), next(number)))["outcome"] == "ok",
-            seconds, node.name + " claims keys")
+
+        def runs_itself():
+            # Before the node knows its own server, another node may run the call.
+            try:
+                before = node.server_stats()["executions"]
+            except OSError:
+                return False  # the server process does not listen yet
+            key = "ready-%s-%s-%d" % (node.name, time.monotonic_ns(), next(number))
+            answer = self.ledger.call(node, key)
+            return answer["outcome"] == "ok" and node.server_stats()["executions"] > before
+
+        wait_until(runs_itself, seconds, node.name + " claims keys")
 
     def wait_entry(self, node, seconds=15):
         """Waits until a node without a backend server has a route for its calls."""
