--- a/src/state/claims_test.cpp
+++ b/src/state/claims_test.cpp
@@ -1,14 +1,15 @@
 #include <atomic>
 #include <criterion/criterion.h>
-#include <future>
 #include <map>
-#include <memory>
 #include <thread>
 
+#include "claim_test_support.hpp"
 #include "fescueridge/platform/memory_log_service.hpp"
 #include "fescueridge/state/claim_client.hpp"
 
 using namespace fescueridge;
+using test::claim;
+using test::is;
 
 namespace
 {
@@ -74,23 +75,6 @@
     return options;
 }
 
-claim_result claim(claim_client& client, const std::string& key, const std::string& call,
-                   milliseconds time_left = milliseconds(2'000))
-{
-    auto promise = std::make_shared<std::promise<claim_result>>();
-    client.acquire(idempotency_key(key), call_id(call), time_left,
-                   [promise](const claim_result& result) { promise->set_value(result); });
-    auto future = promise->get_future();
-    cr_assert(future.wait_for(std::chrono::seconds(5)) == std::future_status::ready);
-    return future.get();
-}
-
-template <class Result>
-bool is(const claim_result& result)
-{
-    return std::holds_alternative<Result>(result);
-}
-
 bool eventually_owner(memory_log_service& log, std::uint64_t wanted_voids)
 {
     const time_point deadline = clock::now() + milliseconds(3'000);
--- a/src/state/lost_table_test.cpp
+++ b/src/state/lost_table_test.cpp
@@ -1,14 +1,15 @@
 #include <atomic>
 #include <criterion/criterion.h>
-#include <future>
-#include <memory>
 #include <mutex>
 #include <thread>
 
+#include "claim_test_support.hpp"
 #include "fescueridge/platform/memory_log_service.hpp"
 #include "fescueridge/state/claim_client.hpp"
 
 using namespace fescueridge;
+using test::claim;
+using test::is;
 
 namespace
 {
@@ -32,22 +33,6 @@
     return options;
 }
 
-claim_result claim(claim_client& client, const std::string& key, const std::string& call)
-{
-    auto promise = std::make_shared<std::promise<claim_result>>();
-    client.acquire(idempotency_key(key), call_id(call), milliseconds(2'000),
-                   [promise](const claim_result& result) { promise->set_value(result); });
-    auto future = promise->get_future();
-    cr_assert(future.wait_for(std::chrono::seconds(5)) == std::future_status::ready);
-    return future.get();
-}
-
-template <class Result>
-bool is(const claim_result& result)
-{
-    return std::holds_alternative<Result>(result);
-}
-
 template <class Condition>
 bool eventually(const Condition& condition)
 {
