--- /dev/null
+++ b/src/codec/gateway_codec.cpp
@@ -0,0 +1,266 @@
+#include "gateway_codec.hpp"
+
+#include <cmath>
+
+namespace fescueridge::detail
+{
+namespace
+{
+
+constexpr std::int64_t max_32 = std::numeric_limits<std::uint32_t>::max();
+constexpr std::int64_t max_time_ms = 3'600'000;
+
+template <class... Fields>
+void append(json& out, Fields&&... fields)
+{
+    (out.push_back(std::forward<Fields>(fields)), ...);
+}
+
+json to_array(const server_record& server)
+{
+    json out = json::array();
+    append(out, to_binary(server.id.get()), to_binary(server.service.get()),
+           server.slots.get(), static_cast<int>(server.state), server.born_ms,
+           server.sequence);
+    return out;
+}
+
+server_record read_server(const json& fields)
+{
+    field_reader in(fields);
+    server_record server;
+    server.id = instance_id(in.text());
+    server.service = service_name(in.text());
+    server.slots = slot_count(in.number<std::uint32_t>(0, max_32));
+    server.state = in.number<server_state>(0, static_cast<int>(server_state::gone));
+    server.born_ms = in.number<std::int64_t>();
+    server.sequence = in.unsigned64();
+    in.expect_end();
+    return server;
+}
+
+double read_amount(field_reader& in)
+{
+    const double value = in.real();
+    if (!std::isfinite(value) || value < 0)
+        throw codec_error("an amount is negative or not finite");
+    return value;
+}
+
+std::vector<route_load> read_routes(field_reader& in)
+{
+    std::vector<route_load> routes;
+    for (const json& entry : in.array(1))
+    {
+        field_reader fields(entry);
+        route_load route;
+        route.route = route_name(fields.text());
+        route.arrivals_per_s = read_amount(fields);
+        route.slot_ms = read_amount(fields);
+        fields.expect_end();
+        routes.push_back(std::move(route));
+    }
+    return routes;
+}
+
+std::vector<call_edge> read_calls(field_reader& in)
+{
+    std::vector<call_edge> calls;
+    for (const json& entry : in.array(1))
+    {
+        field_reader fields(entry);
+        call_edge edge;
+        edge.from = route_name(fields.text());
+        edge.to = route_name(fields.text());
+        edge.calls_per_run = read_amount(fields);
+        fields.expect_end();
+        calls.push_back(std::move(edge));
+    }
+    return calls;
+}
+
+server_load read_load(field_reader& in)
+{
+    server_load load;
+    load.running = in.number<std::uint32_t>(0, max_32);
+    load.waiting = in.number<std::uint32_t>(0, max_32);
+    return load;
+}
+
+} // namespace
+
+void append_fields(json& out, const forward_message& m)
+{
+    append(out, m.number, to_binary(m.request.get()), to_binary(m.route.get()),
+           to_binary(m.service.get()), to_binary(m.caller.get()), m.time_left.count(),
+           m.target_latency.count(), m.rank.get(), m.from_server ? 1 : 0,
+           m.resend ? 1 : 0, static_cast<int>(m.repeat), m.method, to_binary(m.target),
+           to_binary(m.authority), to_array(m.headers), to_binary(m.body));
+}
+
+forward_message read_forward(field_reader& in)
+{
+    forward_message m;
+    m.number = in.unsigned64();
+    m.request = request_id(in.text());
+    m.route = route_name(in.text());
+    m.service = service_name(in.text());
+    m.caller = service_name(in.text());
+    m.time_left = milliseconds(in.number<std::int64_t>(0, max_time_ms));
+    m.target_latency = milliseconds(in.number<std::int64_t>(0, max_time_ms));
+    m.rank = priority(in.number<std::uint8_t>(0, lowest_priority));
+    m.from_server = in.number<int>(0, 1) == 1;
+    m.resend = in.number<int>(0, 1) == 1;
+    m.repeat = in.number<repeat_rule>(0, static_cast<int>(repeat_rule::at_most_once));
+    m.method = in.text();
+    m.target = in.text();
+    m.authority = in.text();
+    m.headers = read_headers(in);
+    m.body = read_body(in);
+    return m;
+}
+
+void append_fields(json& out, const forward_reply_message& m)
+{
+    append(out, m.number, static_cast<int>(m.result), static_cast<int>(m.failure),
+           m.status, to_array(m.headers), to_binary(m.body), m.load.running,
+           m.load.waiting);
+}
+
+forward_reply_message read_forward_reply(field_reader& in)
+{
+    forward_reply_message m;
+    m.number = in.unsigned64();
+    m.result = in.number<forward_result>(0, static_cast<int>(forward_result::unknown));
+    m.failure =
+        in.number<forward_failure>(0, static_cast<int>(forward_failure::cancelled));
+    m.status = in.number<int>(0, 999);
+    m.headers = read_headers(in);
+    m.body = read_body(in);
+    m.load = read_load(in);
+    return m;
+}
+
+void append_fields(json& out, const forward_cancel_message& m)
+{
+    append(out, m.number);
+}
+
+forward_cancel_message read_forward_cancel(field_reader& in)
+{
+    return {in.unsigned64()};
+}
+
+void append_fields(json& out, const node_report_message& m)
+{
+    json routes = json::array();
+    for (const route_load& route : m.routes)
+        routes.push_back(json::array(
+            {to_binary(route.route.get()), route.arrivals_per_s, route.slot_ms}));
+    json calls = json::array();
+    for (const call_edge& edge : m.calls)
+        calls.push_back(json::array(
+            {to_binary(edge.from.get()), to_binary(edge.to.get()), edge.calls_per_run}));
+    json servers = json::array();
+    if (m.server)
+        servers.push_back(to_array(*m.server));
+    append(out, m.version.get(), std::move(servers), m.accepting ? 1 : 0, m.load.running,
+           m.load.waiting, m.limit, m.queue_wait_ms, m.service_ms, std::move(routes),
+           std::move(calls));
+}
+
+node_report_message read_node_report(field_reader& in)
+{
+    node_report_message m;
+    m.version = config_version(in.unsigned64());
+    for (const json& fields : in.array(1))
+        m.server = read_server(fields);
+    m.accepting = in.number<int>(0, 1) == 1;
+    m.load = read_load(in);
+    m.limit = in.number<std::uint32_t>(0, max_32);
+    m.queue_wait_ms = read_amount(in);
+    m.service_ms = read_amount(in);
+    m.routes = read_routes(in);
+    m.calls = read_calls(in);
+    return m;
+}
+
+void append_fields(json& out, const config_pull_message& m)
+{
+    append(out, m.have.get());
+}
+
+config_pull_message read_config_pull(field_reader& in)
+{
+    return {config_version(in.unsigned64())};
+}
+
+void append_fields(json& out, const config_push_message& m)
+{
+    append(out, m.version.get(), to_binary(m.content));
+}
+
+config_push_message read_config_push(field_reader& in)
+{
+    config_push_message m;
+    m.version = config_version(in.unsigned64());
+    m.content = in.text();
+    return m;
+}
+
+void append_fields(json& out, const known_nodes_message& m)
+{
+    json nodes = json::array();
+    for (const node_record& node : m.nodes)
+        nodes.push_back(json::array({to_binary(node.node.get()), node.started_ms,
+                                     to_binary(node.domain.get()),
+                                     to_binary(node.link.address), node.link.port}));
+    append(out, std::move(nodes));
+}
+
+known_nodes_message read_known_nodes(field_reader& in)
+{
+    constexpr std::int64_t max_port = 65'535;
+    known_nodes_message m;
+    for (const json& entry : in.array(1))
+    {
+        field_reader fields(entry);
+        node_record node;
+        node.node = node_id(fields.text());
+        node.started_ms = fields.number<std::int64_t>();
+        node.domain = domain_name(fields.text());
+        node.link.address = fields.text();
+        node.link.port = fields.number<std::uint16_t>(1, max_port);
+        fields.expect_end();
+        m.nodes.push_back(std::move(node));
+    }
+    return m;
+}
+
+void append_fields(json& out, const suspect_message& m)
+{
+    append(out, m.request.get(), m.crash);
+}
+
+suspect_message read_suspect(field_reader& in)
+{
+    suspect_message m;
+    m.request = fingerprint(in.unsigned64());
+    m.crash = in.unsigned64();
+    return m;
+}
+
+void append_fields(json& out, const own_server_message& m)
+{
+    append(out, json::array({to_array(m.server)}));
+}
+
+own_server_message read_own_server(field_reader& in)
+{
+    const json& servers = in.array(1);
+    if (servers.size() != 1)
+        throw codec_error("message does not name one server");
+    return {read_server(servers.front())};
+}
+
+} // namespace fescueridge::detail
--- a/src/codec/messages.cpp
+++ b/src/codec/messages.cpp
@@ -6,6 +6,8 @@
 
 #include "fescueridge/base/cbor.hpp"
 #include "fescueridge/base/error.hpp"
+#include "field_reader.hpp"
+#include "gateway_codec.hpp"
 
 namespace fescueridge
 {
@@ -13,7 +15,7 @@
 namespace
 {
 
-using json = nlohmann::json;
+using namespace detail;
 
 // Frames are arrays, not maps: [type, lamport, field...]. Field names would be most of
 // the bytes of a small call.
@@ -30,26 +32,19 @@
     demand_report,
     share_grant,
     strike,
-    sheet_delta
+    sheet_delta,
+    forward,
+    forward_reply,
+    forward_cancel,
+    node_report,
+    config_pull,
+    config_push,
+    known_nodes,
+    suspect,
+    own_server
 };
 
-json to_binary(const std::string& bytes)
-{
-    return json::binary(std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
-}
-
-json to_array(const std::vector<header_field>& headers)
-{
-    json result = json::array();
-    for (const header_field& header : headers)
-    {
-        result.push_back(to_binary(header.name));
-        result.push_back(to_binary(header.value));
-    }
-    return result;
-}
-
-json to_array(const std::vector<admission_level>& levels)
+json levels_to_array(const std::vector<admission_level>& levels)
 {
     json result = json::array();
     for (const admission_level& level : levels)
@@ -61,6 +56,44 @@
     return result;
 }
 
+frame_type gateway_frame_type(const forward_message&)
+{
+    return frame_type::forward;
+}
+frame_type gateway_frame_type(const forward_reply_message&)
+{
+    return frame_type::forward_reply;
+}
+frame_type gateway_frame_type(const forward_cancel_message&)
+{
+    return frame_type::forward_cancel;
+}
+frame_type gateway_frame_type(const node_report_message&)
+{
+    return frame_type::node_report;
+}
+frame_type gateway_frame_type(const config_pull_message&)
+{
+    return frame_type::config_pull;
+}
+frame_type gateway_frame_type(const config_push_message&)
+{
+    return frame_type::config_push;
+}
+frame_type gateway_frame_type(const known_nodes_message&)
+{
+    return frame_type::known_nodes;
+}
+frame_type gateway_frame_type(const suspect_message&)
+{
+    return frame_type::suspect;
+}
+
+frame_type gateway_frame_type(const own_server_message&)
+{
+    return frame_type::own_server;
+}
+
 /// Appends the type and the fields of a message to a frame.
 struct encoder
 {
@@ -87,7 +120,7 @@
         const int reason = m.reason ? static_cast<int>(*m.reason) : -1;
         return make(frame_type::reply, m.id.get(), static_cast<int>(m.result), reason,
                     m.status, to_array(m.headers), to_binary(m.body),
-                    m.allowance_left.get(), to_array(m.levels), m.refusal_token);
+                    m.allowance_left.get(), levels_to_array(m.levels), m.refusal_token);
     }
 
     json operator()(const cancel_message& m) const
@@ -145,6 +178,14 @@
         return make(frame_type::sheet_delta, std::move(steps));
     }
 
+    template <class Message>
+    json operator()(const Message& m) const
+    {
+        json result = make(gateway_frame_type(m));
+        append_fields(result, m);
+        return result;
+    }
+
 private:
     template <class... Fields>
     json make(frame_type type, Fields&&... fields) const
@@ -157,138 +198,6 @@
     }
 };
 
-/// Takes the fields of a frame in order and checks the type of each.
-class field_reader
-{
-public:
-    explicit field_reader(json frame) : frame_(std::move(frame))
-    {
-        if (!frame_.is_array())
-        {
-            throw codec_error("frame is not an array");
-        }
-    }
-
-    template <class Number>
-    Number number(std::int64_t low = 0,
-                  std::int64_t high = std::numeric_limits<std::int64_t>::max())
-    {
-        const json& value = next();
-        if (!value.is_number_integer())
-        {
-            throw codec_error(fmt::format("field {} is not a whole number", position_));
-        }
-        const auto result = value.get<std::int64_t>();
-        if (result < low || result > high)
-        {
-            throw codec_error(
-                fmt::format("field {} is out of range: {}", position_, result));
-        }
-        return static_cast<Number>(result);
-    }
-
-    std::uint64_t unsigned64()
-    {
-        const json& value = next();
-        if (!value.is_number_unsigned())
-        {
-            throw codec_error(
-                fmt::format("field {} is not an unsigned number", position_));
-        }
-        return value.get<std::uint64_t>();
-    }
-
-    double real()
-    {
-        const json& value = next();
-        if (!value.is_number())
-        {
-            throw codec_error(fmt::format("field {} is not a number", position_));
-        }
-        return value.get<double>();
-    }
-
-    std::string text() { return to_text(next()); }
-
-    std::optional<std::string> optional_text()
-    {
-        const json& value = next();
-        if (value.is_null())
-        {
-            return std::nullopt;
-        }
-        return to_text(value);
-    }
-
-    const json& array(std::size_t group)
-    {
-        const json& value = next();
-        if (!value.is_array() || value.size() % group != 0)
-        {
-            throw codec_error(
-                fmt::format("field {} is not a list of groups of {}", position_, group));
-        }
-        return value;
-    }
-
-    std::string to_text(const json& value) const
-    {
-        if (value.is_binary())
-        {
-            const auto& bytes = value.get_binary();
-            return std::string(bytes.begin(), bytes.end());
-        }
-        if (value.is_string())
-        {
-            return value.get<std::string>();
-        }
-        throw codec_error(fmt::format("field {} is not a text", position_));
-    }
-
-    void expect_end() const
-    {
-        if (position_ != frame_.size())
-        {
-            throw codec_error(fmt::format("frame has {} fields, expected {}",
-                                          frame_.size(), position_));
-        }
-    }
-
-private:
-    const json& next()
-    {
-        if (position_ >= frame_.size())
-        {
-            throw codec_error(fmt::format("field {} is missing", position_));
-        }
-        return frame_[position_++];
-    }
-
-    json frame_;
-    std::size_t position_ = 0;
-};
-
-std::string read_body(field_reader& in)
-{
-    std::string body = in.text();
-    if (body.size() > max_body_bytes)
-    {
-        throw codec_error(fmt::format("body of {} bytes is too large", body.size()));
-    }
-    return body;
-}
-
-std::vector<header_field> read_headers(field_reader& in)
-{
-    const json& list = in.array(2);
-    std::vector<header_field> result;
-    for (std::size_t i = 0; i < list.size(); i += 2)
-    {
-        result.push_back({in.to_text(list[i]), in.to_text(list[i + 1])});
-    }
-    return result;
-}
-
 /// Returns a part of an admission level.
 std::uint16_t level_number(const json& value, std::uint32_t highest)
 {
@@ -451,6 +360,24 @@
         return read_call(in);
     case frame_type::reply:
         return read_reply(in);
+    case frame_type::forward:
+        return read_forward(in);
+    case frame_type::forward_reply:
+        return read_forward_reply(in);
+    case frame_type::forward_cancel:
+        return read_forward_cancel(in);
+    case frame_type::node_report:
+        return read_node_report(in);
+    case frame_type::config_pull:
+        return read_config_pull(in);
+    case frame_type::config_push:
+        return read_config_push(in);
+    case frame_type::known_nodes:
+        return read_known_nodes(in);
+    case frame_type::suspect:
+        return read_suspect(in);
+    case frame_type::own_server:
+        return read_own_server(in);
     default:
         return read_control_message(type, in);
     }
--- /dev/null
+++ b/src/gateway/admission_plan.cpp
@@ -0,0 +1,109 @@
+#include "fescueridge/gateway/admission_plan.hpp"
+
+#include <algorithm>
+
+namespace fescueridge::gateway
+{
+namespace
+{
+
+using demand_range = std::pair<std::size_t, std::size_t>;
+
+/// Returns how much of the group's need each service can still give, 0 to 1.
+std::map<service_name, double> coverage(const std::vector<route_demand>& demands,
+                                        const demand_range& group,
+                                        const service_capacity& left)
+{
+    std::map<service_name, double> need;
+    for (std::size_t i = group.first; i < group.second; ++i)
+        for (const auto& [service, ms] : demands[i].costs)
+            need[service] += demands[i].arrivals_per_s * ms;
+    std::map<service_name, double> covered;
+    for (const auto& [service, ms] : need)
+    {
+        const auto capacity = left.find(service);
+        if (capacity != left.end() && ms > 0)
+            covered[service] = std::clamp(capacity->second / ms, 0.0, 1.0);
+    }
+    return covered;
+}
+
+void admit_group(const std::vector<route_demand>& demands, const demand_range& group,
+                 service_capacity& left, std::map<route_name, double>& shares)
+{
+    const auto covered = coverage(demands, group, left);
+    for (std::size_t i = group.first; i < group.second; ++i)
+    {
+        double share = 1;
+        for (const auto& [service, ms] : demands[i].costs)
+        {
+            const auto found = covered.find(service);
+            if (ms > 0 && found != covered.end())
+                share = std::min(share, found->second);
+        }
+        shares[demands[i].route] = share;
+        for (const auto& [service, ms] : demands[i].costs)
+        {
+            const auto capacity = left.find(service);
+            if (capacity != left.end())
+                capacity->second = std::max(
+                    0.0, capacity->second - share * demands[i].arrivals_per_s * ms);
+        }
+    }
+}
+
+} // namespace
+
+std::map<route_name, double> admitted_shares(std::vector<route_demand> demands,
+                                             service_capacity capacity)
+{
+    std::stable_sort(demands.begin(), demands.end(),
+                     [](const route_demand& a, const route_demand& b)
+                     { return a.rank < b.rank; });
+    std::map<route_name, double> shares;
+    for (std::size_t first = 0; first < demands.size();)
+    {
+        std::size_t last = first;
+        while (last < demands.size() && demands[last].rank == demands[first].rank)
+            ++last;
+        admit_group(demands, {first, last}, capacity, shares);
+        first = last;
+    }
+    return shares;
+}
+
+double request_thinner::share(const route_name& route) const
+{
+    const auto found = shares_.find(route);
+    return found == shares_.end() ? 1 : found->second;
+}
+
+bool request_thinner::admit(const route_name& route)
+{
+    const double admitted = share(route);
+    if (admitted >= 1)
+        return true;
+    double& credit = credit_[route];
+    credit += admitted;
+    if (credit < 1)
+        return false;
+    credit -= 1;
+    return true;
+}
+
+double capacity_trim::update(double wait_ms, double use)
+{
+    constexpr double long_wait_ms = 15;
+    constexpr double low_use = 0.9;
+    constexpr double down = 0.95;
+    constexpr double up = 1.02;
+    constexpr double least = 0.4;
+    constexpr double most = 1.1;
+    if (wait_ms > long_wait_ms)
+        factor_ = std::max(least, factor_ * down);
+    else if (use < low_use)
+        factor_ = std::min(most, factor_ * up);
+    return factor_;
+}
+
+} // namespace fescueridge::gateway
--- /dev/null
+++ b/src/gateway/crash_suspects.cpp
@@ -0,0 +1,68 @@
+#include "fescueridge/gateway/crash_suspects.hpp"
+
+namespace fescueridge::gateway
+{
+namespace
+{
+
+/// The connections of a crashed server break within this time of each other.
+constexpr milliseconds crash_spread{300};
+
+/// A server that comes back announces itself within this time.
+constexpr milliseconds longest_restart{20'000};
+
+/// Bounds the memory of the table.
+constexpr std::size_t max_records = 20'000;
+
+} // namespace
+
+void crash_suspects::on_cut(fingerprint request, time_point now)
+{
+    cuts_.emplace_back(now, request);
+    while (!cuts_.empty() && now - cuts_.front().first > longest_restart)
+        cuts_.pop_front();
+}
+
+std::vector<suspect_message> crash_suspects::on_crash(std::uint64_t crash, time_point now)
+{
+    std::vector<suspect_message> suspects;
+    if (!cuts_.empty())
+    {
+        const auto last = cuts_.back().first;
+        for (const auto& [when, request] : cuts_)
+            if (last - when <= crash_spread && now - when <= longest_restart)
+                suspects.push_back({request, crash});
+    }
+    cuts_.clear();
+    for (const auto& suspect : suspects)
+        on_suspect(suspect, now);
+    return suspects;
+}
+
+void crash_suspects::on_suspect(const suspect_message& suspect, time_point now)
+{
+    if (records_.size() >= max_records)
+        records_.clear();
+    record& held = records_[suspect.request];
+    if (now - held.last > memory)
+        held.crashes.clear();
+    held.crashes.insert(suspect.crash);
+    held.last = now;
+}
+
+void crash_suspects::on_completed(fingerprint request)
+{
+    if (!records_.empty())
+        records_.erase(request);
+}
+
+bool crash_suspects::quarantined(fingerprint request, time_point now) const
+{
+    if (records_.empty())
+        return false;
+    const auto found = records_.find(request);
+    return found != records_.end() && now - found->second.last <= memory &&
+           found->second.crashes.size() >= crash_limit;
+}
+
+} // namespace fescueridge::gateway
--- /dev/null
+++ b/src/gateway/decision_log.cpp
@@ -0,0 +1,190 @@
+#include "fescueridge/gateway/decision_log.hpp"
+
+#include <cerrno>
+#include <nlohmann/json.hpp>
+#include <poll.h>
+#include <unistd.h>
+
+#include "fescueridge/base/random.hpp"
+
+namespace fescueridge::gateway
+{
+namespace
+{
+
+constexpr milliseconds window_time{1'000};
+constexpr milliseconds flush_interval{100};
+
+/// Lines about requests that went wrong, for each second.
+constexpr unsigned max_failures = 60;
+
+/// Lines about requests that went well, for each second, on average.
+constexpr unsigned target_successes = 8;
+
+/// Lines wait here while standard output does not take them; more are left out.
+constexpr std::size_t max_buffer = std::size_t{256} * 1024;
+
+/// Largest sample; a power of two, like all sample sizes.
+constexpr unsigned max_sample = 1U << 20U;
+
+} // namespace
+
+std::string_view to_string(log_event value) noexcept
+{
+    switch (value)
+    {
+    case log_event::node_started:
+        return "node_started";
+    case log_event::node_stopping:
+        return "node_stopping";
+    case log_event::node_stopped:
+        return "node_stopped";
+    case log_event::settings_reloaded:
+        return "settings_reloaded";
+    case log_event::settings_unusable:
+        return "settings_unusable";
+    case log_event::config_applied:
+        return "config_applied";
+    case log_event::config_unusable:
+        return "config_unusable";
+    case log_event::log_lost:
+        return "log_lost";
+    case log_event::log_regained:
+        return "log_regained";
+    case log_event::log_append_failed:
+        return "log_append_failed";
+    case log_event::records_unreadable:
+        return "records_unreadable";
+    case log_event::peer_connected:
+        return "peer_connected";
+    case log_event::peer_lost:
+        return "peer_lost";
+    case log_event::link_fault:
+        return "link_fault";
+    case log_event::server_changed:
+        return "server_changed";
+    case log_event::announcement_unusable:
+        return "announcement_unusable";
+    case log_event::shares_changed:
+        return "shares_changed";
+    case log_event::request_rejected:
+        return "request_rejected";
+    case log_event::request_retried:
+        return "request_retried";
+    case log_event::request_answered:
+        return "request_answered";
+    case log_event::request_abandoned:
+        return "request_abandoned";
+    case log_event::run_turned_away:
+        return "run_turned_away";
+    case log_event::run_failed:
+        return "run_failed";
+    case log_event::request_unreadable:
+        return "request_unreadable";
+    }
+    return "node_started";
+}
+
+decision_log::decision_log(asio::io_context& io, node_id node)
+    : node_(node.get()), timer_(io)
+{
+}
+
+void decision_log::start_window(time_point now)
+{
+    if (now - window_start_ < window_time)
+        return;
+    window_start_ = now;
+    sample_in_ = 1;
+    while (requests_in_window_ / sample_in_ > target_successes && sample_in_ < max_sample)
+        sample_in_ *= 2;
+    failures_in_window_ = 0;
+    requests_in_window_ = 0;
+}
+
+bool decision_log::wants(log_weight weight, const request_id& id)
+{
+    start_window(clock::now());
+    if (weight == log_weight::always)
+        return true;
+    bool wanted = false;
+    if (weight == log_weight::failure)
+    {
+        wanted = ++failures_in_window_ <= max_failures;
+    }
+    else
+    {
+        ++requests_in_window_;
+        wanted = stable_hash(id.get()) % sample_in_ == 0;
+    }
+    if (!wanted)
+        ++left_out_;
+    return wanted;
+}
+
+void decision_log::record(log_event event, std::vector<event_field> fields,
+                          log_weight weight)
+{
+    if (buffer_.size() > max_buffer)
+    {
+        ++left_out_;
+        return;
+    }
+    nlohmann::ordered_json line;
+    line["time_ms"] = wall_clock_ms();
+    line["node"] = node_;
+    line["event"] = to_string(event);
+    for (const event_field& field : fields)
+        std::visit([&](const auto& content) { line[field.name] = content; }, field.value);
+    if (left_out_ != left_out_told_ && weight != log_weight::success)
+    {
+        line["lines_left_out"] = left_out_;
+        left_out_told_ = left_out_;
+    }
+    // Bytes from the network may not be UTF-8; replacing them keeps the line valid JSON.
+    buffer_ += line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    buffer_ += '\n';
+    flush_soon();
+}
+
+void decision_log::flush_soon()
+{
+    if (timer_runs_)
+        return;
+    timer_runs_ = true;
+    timer_.expires_after(flush_interval);
+    timer_.async_wait(
+        [this](asio::error_code ec)
+        {
+            if (ec)
+                return;
+            timer_runs_ = false;
+            flush();
+            if (!buffer_.empty())
+                flush_soon();
+        });
+}
+
+void decision_log::flush()
+{
+    // A write of at most this many bytes to a writable pipe does not block.
+    constexpr std::size_t atomic_write = 4096;
+    while (!buffer_.empty())
+    {
+        pollfd out{STDOUT_FILENO, POLLOUT, 0};
+        if (::poll(&out, 1, 0) <= 0)
+            return;
+        const auto size = std::min(buffer_.size(), atomic_write);
+        const auto written = ::write(STDOUT_FILENO, buffer_.data(), size);
+        if (written <= 0)
+        {
+            // Nobody reads any more: the lines cannot be delivered.
+            if (errno != EINTR && errno != EAGAIN)
+                buffer_.clear();
+            return;
+        }
+        buffer_.erase(0, static_cast<std::size_t>(written));
+    }
+}
+
+} // namespace fescueridge::gateway
--- /dev/null
+++ b/src/gateway/fleet_view.cpp
@@ -0,0 +1,90 @@
+#include "fleet_view.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace fescueridge::gateway
+{
+namespace
+{
+
+/// Reports older than this say nothing about the present.
+constexpr milliseconds report_lifetime{1'500};
+
+} // namespace
+
+void fleet_view::add(const node_report_message& report, time_point reported)
+{
+    if (now_ - reported > report_lifetime)
+        return;
+    for (const auto& route : report.routes)
+    {
+        arrivals_[route.route] += route.arrivals_per_s;
+        if (route.slot_ms > 0)
+            slot_ms_[route.route].add(route.slot_ms, 1);
+    }
+    std::set<route_name> observed;
+    for (const auto& edge : report.calls)
+    {
+        observed.insert(edge.from);
+        calls_[{edge.from, edge.to}] += edge.calls_per_run;
+    }
+    for (const auto& route : observed)
+        ++observers_[route];
+    if (!report.accepting || !report.server)
+        return;
+    auto& service = services_[report.server->service];
+    service.limit += report.limit;
+    service.running += report.load.running;
+    service.wait_ms.add(report.queue_wait_ms, report.limit);
+}
+
+std::vector<call_edge> fleet_view::edges() const
+{
+    std::vector<call_edge> result;
+    for (const auto& [ends, sum] : calls_)
+        result.push_back({ends.first, ends.second, sum / observers_.at(ends.first)});
+    return result;
+}
+
+std::vector<route_demand> fleet_view::demands() const
+{
+    std::map<route_name, route_cost_input> inputs;
+    for (const auto& route : table_.config().routes)
+    {
+        route_cost_input input;
+        double total = 0;
+        for (const auto& target : route.targets)
+            total += target.weight;
+        for (const auto& target : route.targets)
+            input.targets[target.service] += total > 0 ? target.weight / total : 0;
+        const auto slot = slot_ms_.find(route.name);
+        input.slot_ms = slot == slot_ms_.end() ? 0 : slot->second.value();
+        inputs.emplace(route.name, std::move(input));
+    }
+    const auto costs = service_costs_of(inputs, edges());
+    std::vector<route_demand> result;
+    for (const auto& route : table_.config().routes)
+    {
+        const auto arrivals = arrivals_.find(route.name);
+        if (arrivals != arrivals_.end() && arrivals->second > 0)
+            result.push_back(
+                {route.name, route.rank, arrivals->second, costs.at(route.name)});
+    }
+    return result;
+}
+
+service_capacity fleet_view::capacity(std::map<service_name, capacity_trim>& trims) const
+{
+    constexpr double ms_per_s = 1000;
+    service_capacity result;
+    for (const auto& [service, state] : services_)
+    {
+        const double use = state.limit > 0 ? state.running / state.limit : 1;
+        const double factor = trims[service].update(state.wait_ms.value(), use);
+        result[service] = state.limit * ms_per_s * factor;
+    }
+    return result;
+}
+
+} // namespace fescueridge::gateway
--- /dev/null
+++ b/src/gateway/fleet_view.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <map>
+#include <vector>
+
+#include "fescueridge/gateway/admission_plan.hpp"
+#include "fescueridge/gateway/routing_config.hpp"
+
+namespace fescueridge::gateway
+{
+
+/// Sums up what the nodes report: demand of each route, costs of its requests at each
+/// service, and the capacity of the services.
+class fleet_view
+{
+public:
+    fleet_view(const route_table& table, time_point now) : table_(table), now_(now) {}
+
+    /// Adds the report of a node. Old reports are left out.
+    void add(const node_report_message& report, time_point reported);
+
+    /// Returns how often runs of routes call other routes: the mean over the nodes.
+    std::vector<call_edge> edges() const;
+
+    std::vector<route_demand> demands() const;
+
+    /// Returns the capacity of each service, corrected by what its queues show.
+    service_capacity capacity(std::map<service_name, capacity_trim>& trims) const;
+
+private:
+    struct mean
+    {
+        double sum = 0;
+        double weight = 0;
+        void add(double value, double by)
+        {
+            sum += value * by;
+            weight += by;
+        }
+        double value() const { return weight > 0 ? sum / weight : 0; }
+    };
+    struct service_state
+    {
+        double limit = 0;
+        double running = 0;
+        mean wait_ms;
+    };
+
+    const route_table& table_;
+    time_point now_;
+    std::map<route_name, double> arrivals_;
+    std::map<route_name, mean> slot_ms_;
+    std::map<route_name, double> observers_; ///< Nodes that know the calls of a route.
+    std::map<std::pair<route_name, route_name>, double> calls_;
+    std::map<service_name, service_state> services_;
+};
+
+} // namespace fescueridge::gateway
--- /dev/null
+++ b/src/gateway/gateway_node.cpp
@@ -0,0 +1,543 @@
+#include "fescueridge/gateway/gateway_node.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+
+#include "fescueridge/base/error.hpp"
+#include "fescueridge/gateway/entry_port.hpp"
+#include "fescueridge/gateway/topic_follower.hpp"
+#include "metrics_text.hpp"
+
+namespace fescueridge::gateway
+{
+namespace
+{
+
+constexpr milliseconds poll_interval{50};
+constexpr milliseconds shares_interval{100};
+constexpr milliseconds report_interval{250};
+
+/// Calls and slot times change slowly: one report in this many carries them.
+constexpr unsigned learned_in_reports = 4;
+
+constexpr milliseconds append_timeout{1'000};
+constexpr milliseconds append_pause{500};
+
+/// After the stop signal clients are told by the readiness check, which is made once a
+/// second; two misses take the node out.
+constexpr milliseconds least_stop_time{2'600};
+
+/// Time before the kill at which the process ends, whatever still runs.
+constexpr milliseconds stop_margin{500};
+
+/// Requests of one client connection that run at the same time.
+constexpr std::size_t max_pipelined = 16;
+
+/// A configuration is pulled from a peer at most this often.
+constexpr milliseconds pull_interval{100};
+
+} // namespace
+
+class gateway_node::impl
+{
+public:
+    impl(asio::io_context& io, node_settings settings, const wire_format& wire,
+         keyed_log& log);
+
+    void stop();
+    void note_reload(bool usable, const std::string& detail);
+
+private:
+    using timer_ptr = std::shared_ptr<asio::steady_timer>;
+
+    void every(milliseconds interval, std::function<void()> action);
+    peer_callbacks make_peer_callbacks();
+    void start_following();
+
+    void take_config(const std::string& content, const char* source);
+    void take_node(const keyed_record& record);
+    void publish_self();
+    void on_listed();
+
+    void handle_readiness(const http_request& request, http_exchange& exchange);
+    void handle_announcement(const http_request& request, http_exchange& exchange);
+
+    void on_forward(const link_ptr& from, forward_message message);
+    void on_cancel(const link_ptr& from, std::uint64_t number);
+    void on_link_closed(const link_ptr& closed);
+    void on_report(const peer& from);
+
+    node_report_message make_report(bool with_learned);
+    void send_reports();
+    void report_change();
+    void check_stop();
+    void finish();
+
+    /// A run that a peer asked for.
+    struct remote_run
+    {
+        link_ptr from;
+        std::uint64_t number;
+    };
+
+    asio::io_context& io_;
+    const node_settings settings_;
+    const wire_format& wire_;
+    keyed_log& log_;
+    event_log events_;
+    decision_log decisions_;
+    run_executor executor_;
+    peers peers_;
+    entry_port entry_;
+    std::unique_ptr<http_server> entry_server_;
+    std::unique_ptr<http_server> ready_server_;
+    std::unique_ptr<http_server> announcement_server_;
+    std::shared_ptr<topic_follower> config_follower_;
+    std::shared_ptr<topic_follower> nodes_follower_;
+    std::shared_ptr<const route_table> table_;
+    std::string config_text_;
+    std::map<std::pair<link*, std::uint64_t>, run_number> remote_runs_;
+    std::vector<timer_ptr> timers_;
+    unsigned reports_ = 0;
+    bool change_pending_ = false;
+    bool published_ = false;
+    bool publishing_ = false;
+    time_point next_pull_{};
+    std::optional<time_point> stopping_since_;
+    bool finished_ = false;
+};
+
+gateway_node::impl::impl(asio::io_context& io, node_settings settings,
+                         const wire_format& wire, keyed_log& log)
+    : io_(io), settings_(std::move(settings)), wire_(wire), log_(log),
+      events_(settings_.node, incarnation(random_seed())), decisions_(io, settings_.node),
+      executor_(io, settings_, wire, decisions_,
+                {[this] { report_change(); },
+                 [this](const suspect_message& suspect)
+                 {
+                     peers_.broadcast(suspect);
+                 }}),
+      peers_(io, settings_, events_, decisions_, make_peer_callbacks()),
+      entry_(io, settings_, wire, decisions_, peers_, executor_)
+{
+    events_.echo(false);
+    http_server_options entry_options;
+    entry_options.max_pipelined = max_pipelined;
+    entry_options.on_fault = [this](const http_fault& fault)
+    {
+        if (decisions_.wants(log_weight::failure, {}))
+            decisions_.record(log_event::request_unreadable,
+                              {{"cause", std::string(to_string(fault.kind))},
+                               {"peer", to_string(fault.peer)},
+                               {"detail", fault.detail}},
+                              log_weight::failure);
+    };
+    entry_server_ = std::make_unique<http_server>(
+        io, settings_.listen_entry,
+        [this](http_request request, std::shared_ptr<http_exchange> exchange)
+        { entry_.handle(std::move(request), std::move(exchange)); },
+        entry_options);
+    ready_server_ = std::make_unique<http_server>(
+        io, settings_.listen_ready,
+        [this](const http_request& request,
+               const std::shared_ptr<http_exchange>& exchange)
+        { handle_readiness(request, *exchange); });
+    announcement_server_ = std::make_unique<http_server>(
+        io, settings_.listen_announcements,
+        [this](const http_request& request,
+               const std::shared_ptr<http_exchange>& exchange)
+        { handle_announcement(request, *exchange); });
+    peers_.start();
+    start_following();
+    every(poll_interval,
+          [this]
+          {
+              executor_.poll();
+              check_stop();
+          });
+    every(shares_interval, [this] { entry_.update_shares(); });
+    every(report_interval, [this] { send_reports(); });
+    decisions_.record(log_event::node_started,
+                      {{"domain", settings_.domain.get()},
+                       {"service", settings_.service.get()},
+                       {"entry", to_string(settings_.listen_entry)}});
+}
+
+void gateway_node::impl::every(milliseconds interval, std::function<void()> action)
+{
+    auto timer = std::make_shared<asio::steady_timer>(io_);
+    timers_.push_back(timer);
+    auto again = std::make_shared<std::function<void()>>();
+    *again = [this, interval, timer, action = std::move(action),
+              weak = std::weak_ptr<std::function<void()>>(again)]
+    {
+        const auto self = weak.lock();
+        timer->expires_after(interval);
+        timer->async_wait(
+            [this, action, self](asio::error_code ec)
+            {
+                if (ec || finished_)
+                    return;
+                action();
+                if (!finished_)
+                    (*self)();
+            });
+    };
+    (*again)();
+}
+
+peer_callbacks gateway_node::impl::make_peer_callbacks()
+{
+    peer_callbacks calls;
+    calls.on_forward = [this](const link_ptr& from, forward_message message)
+    {
+        on_forward(from, std::move(message));
+    };
+    calls.on_cancel = [this](const link_ptr& from, const forward_cancel_message& message)
+    {
+        on_cancel(from, message.number);
+    };
+    calls.on_link_closed = [this](const link_ptr& closed)
+    {
+        on_link_closed(closed);
+    };
+    calls.on_link_open = [this](const link_ptr& opened)
+    {
+        opened->send(make_report(true));
+    };
+    calls.on_report = [this](const peer& from)
+    {
+        on_report(from);
+    };
+    calls.on_config_pull = [this](const link_ptr& from, const config_pull_message& pull)
+    {
+        if (table_ && pull.have < table_->config().version)
+            from->send(config_push_message{table_->config().version, config_text_});
+    };
+    calls.on_config_push = [this](const config_push_message& push)
+    {
+        take_config(push.content, "peer");
+    };
+    calls.on_suspect = [this](const suspect_message& suspect)
+    {
+        executor_.on_suspect(suspect);
+    };
+    calls.on_own_server = [this](const server_record& server)
+    {
+        executor_.on_memory_of_peer(server);
+    };
+    return calls;
+}
+
+void gateway_node::impl::start_following()
+{
+    topic_callbacks config;
+    config.on_record = [this](const keyed_record& record)
+    {
+        if (record.key == settings_.config_key && !record.value.empty())
+            take_config(record.value, "log");
+    };
+    config_follower_ = std::make_shared<topic_follower>(
+        io_, log_, decisions_, settings_.config_topic, std::move(config));
+    config_follower_->start();
+    topic_callbacks nodes;
+    nodes.on_record = [this](const keyed_record& record)
+    {
+        take_node(record);
+    };
+    nodes.on_listed = [this]
+    {
+        on_listed();
+    };
+    nodes_follower_ = std::make_shared<topic_follower>(
+        io_, log_, decisions_, settings_.nodes_topic, std::move(nodes));
+    publish_self();
+    nodes_follower_->start();
+}
+
+// Versions only grow within a process: an older one from a slow source changes nothing.
+void gateway_node::impl::take_config(const std::string& content, const char* source)
+{
+    try
+    {
+        auto config = wire_.read_config(content);
+        const auto held = table_ ? table_->config().version : config_version(0);
+        if (table_ && config.version <= held)
+            return;
+        table_ = std::make_shared<const route_table>(std::move(config));
+    }
+    catch (const codec_error& problem)
+    {
+        decisions_.record(log_event::config_unusable,
+                          {{"source", std::string(source)}, {"detail", problem.what()}});
+        return;
+    }
+    config_text_ = content;
+    const auto& config = table_->config();
+    decisions_.record(log_event::config_applied,
+                      {{"version", static_cast<std::int64_t>(config.version.get())},
+                       {"source", std::string(source)},
+                       {"routes", static_cast<std::int64_t>(config.routes.size())}});
+    entry_.use(table_);
+    if (config.limits.idle_timeout > milliseconds{0})
+        entry_server_->set_timeouts(config.limits.header_timeout,
+                                    config.limits.idle_timeout);
+    const auto& server = executor_.server();
+    if (const auto* service =
+            table_->service(server ? server->service : settings_.service))
+        executor_.configure(*service);
+    report_change();
+}
+
+void gateway_node::impl::take_node(const keyed_record& record)
+{
+    if (record.value.empty())
+        return peers_.forget(node_id(record.key));
+    try
+    {
+        const auto frame = decode_frame(record.value);
+        if (const auto* nodes = std::get_if<known_nodes_message>(&frame.message))
+            for (const auto& node : nodes->nodes)
+                peers_.learn(node);
+    }
+    catch (const codec_error& problem)
+    {
+        decisions_.record(log_event::records_unreadable,
+                          {{"topic", settings_.nodes_topic.get()},
+                           {"key", record.key},
+                           {"detail", problem.what()}});
+    }
+}
+
+void gateway_node::impl::publish_self()
+{
+    if (publishing_ || published_ || stopping_since_)
+        return;
+    publishing_ = true;
+    const keyed_record record{settings_.node.get(),
+                              encode_frame({0, known_nodes_message{{peers_.self()}}})};
+    log_.append(settings_.nodes_topic, record, append_timeout,
+                [this](log_result<append_receipt> result)
+                {
+                    publishing_ = false;
+                    published_ = std::holds_alternative<append_receipt>(result);
+                    if (published_)
+                        return;
+                    const auto& failure = std::get<log_failure>(result);
+                    decisions_.record(log_event::log_append_failed,
+                                      {{"topic", settings_.nodes_topic.get()},
+                                       {"cause", std::string(to_string(failure.kind))},
+                                       {"detail", failure.detail}});
+                    auto timer = std::make_shared<asio::steady_timer>(io_, append_pause);
+                    timers_.push_back(timer);
+                    timer->async_wait(
+                        [this](asio::error_code ec)
+                        {
+                            if (!ec)
+                                publish_self();
+                        });
+                });
+}
+
+void gateway_node::impl::on_listed()
+{
+    publish_self();
+}
+
+void gateway_node::impl::handle_readiness(const http_request& request,
+                                          http_exchange& exchange)
+{
+    constexpr std::string_view metrics_path = "/metrics";
+    const std::string& target = request.target;
+    if (target.size() >= metrics_path.size() &&
+        target.compare(target.size() - metrics_path.size(), std::string::npos,
+                       metrics_path) == 0)
+        return exchange.respond(
+            {200,
+             {{"Content-Type", "text/plain; version=0.0.4"}},
+             metrics_text(entry_, executor_, peers_, decisions_, table_.get())});
+    const bool ready = table_ && !stopping_since_;
+    exchange.respond({ready ? 200 : 503,
+                      {{"Content-Type", "text/plain"}},
+                      ready ? "ready\n" : "not ready\n"});
+}
+
+void gateway_node::impl::handle_announcement(const http_request& request,
+                                             http_exchange& exchange)
+{
+    try
+    {
+        executor_.on_announcement(wire_.read_announcement(request));
+        if (const auto& server = executor_.server())
+        {
+            entry_.set_caller(server->service);
+            if (const auto* service = table_ ? table_->service(server->service) : nullptr)
+                executor_.configure(*service);
+        }
+        exchange.respond(wire_.make_acknowledgement());
+    }
+    catch (const codec_error& problem)
+    {
+        decisions_.record(log_event::announcement_unusable, {{"detail", problem.what()}});
+        exchange.respond({400, {{"Content-Type", "text/plain"}}, "unusable\n"});
+    }
+}
+
+void gateway_node::impl::on_forward(const link_ptr& from, forward_message message)
+{
+    const std::pair key{from.get(), message.number};
+    auto answered = std::make_shared<bool>(false);
+    const run_number run =
+        executor_.submit(std::move(message),
+                         [this, from, key, answered](const forward_reply_message& reply)
+                         {
+                             *answered = true;
+                             remote_runs_.erase(key);
+                             from->send(reply);
+                         });
+    if (!*answered)
+        remote_runs_[key] = run;
+}
+
+void gateway_node::impl::on_cancel(const link_ptr& from, std::uint64_t number)
+{
+    const auto found = remote_runs_.find({from.get(), number});
+    if (found == remote_runs_.end())
+        return;
+    const run_number run = found->second;
+    remote_runs_.erase(found);
+    executor_.cancel(run);
+}
+
+// Nobody can get the answers any more.
+void gateway_node::impl::on_link_closed(const link_ptr& closed)
+{
+    std::vector<run_number> runs;
+    for (auto it = remote_runs_.lower_bound({closed.get(), 0});
+         it != remote_runs_.end() && it->first.first == closed.get();)
+    {
+        runs.push_back(it->second);
+        it = remote_runs_.erase(it);
+    }
+    for (const run_number run : runs)
+        executor_.cancel(run);
+}
+
+void gateway_node::impl::on_report(const peer& from)
+{
+    const auto have = table_ ? table_->config().version : config_version(0);
+    const auto now = clock::now();
+    if (from.report.version <= have || now < next_pull_ || !from.connection)
+        return;
+    next_pull_ = now + pull_interval;
+    from.connection->send(config_pull_message{have});
+}
+
+node_report_message gateway_node::impl::make_report(bool with_learned)
+{
+    node_report_message report;
+    report.version = table_ ? table_->config().version : config_version(0);
+    executor_.fill_report(report);
+    report.routes = entry_.arrivals();
+    if (!with_learned)
+        return report;
+    for (const auto& route : executor_.measured_routes())
+        report.routes.push_back({route, 0, 0});
+    executor_.fill_learned(report);
+    return report;
+}
+
+void gateway_node::impl::send_reports()
+{
+    const bool with_learned = ++reports_ % learned_in_reports == 0;
+    peers_.broadcast(make_report(with_learned));
+    if (with_learned)
+        executor_.fade_graph();
+}
+
+// Several changes of one moment are told once.
+void gateway_node::impl::report_change()
+{
+    if (std::exchange(change_pending_, true))
+        return;
+    asio::post(io_,
+               [this]
+               {
+                   change_pending_ = false;
+                   if (!finished_)
+                       peers_.broadcast(make_report(false));
+               });
+}
+
+void gateway_node::impl::stop()
+{
+    if (stopping_since_)
+        return;
+    stopping_since_ = clock::now();
+    decisions_.record(
+        log_event::node_stopping,
+        {{"open_requests", static_cast<std::int64_t>(entry_.open_requests())},
+         {"open_runs", static_cast<std::int64_t>(executor_.open_runs())}});
+    executor_.stop_accepting();
+    entry_server_->close_after_answers();
+    peers_.broadcast(make_report(false));
+    log_.append(settings_.nodes_topic, {settings_.node.get(), {}}, append_timeout,
+                [](const log_result<append_receipt>&)
+                {
+                    // Peers notice the closed link as well; the record is only tidied up.
+                });
+}
+
+void gateway_node::impl::check_stop()
+{
+    if (!stopping_since_)
+        return;
+    const auto passed = clock::now() - *stopping_since_;
+    const bool idle = entry_.open_requests() == 0 && executor_.open_runs() == 0;
+    const bool out_of_time = passed >= settings_.bounds.grace - stop_margin;
+    if (out_of_time || (idle && passed >= least_stop_time))
+        finish();
+}
+
+void gateway_node::impl::finish()
+{
+    finished_ = true;
+    decisions_.record(
+        log_event::node_stopped,
+        {{"open_requests", static_cast<std::int64_t>(entry_.open_requests())},
+         {"open_runs", static_cast<std::int64_t>(executor_.open_runs())}});
+    decisions_.flush();
+    for (const auto& timer : timers_)
+        timer->cancel();
+    config_follower_->stop();
+    nodes_follower_->stop();
+    io_.stop();
+}
+
+void gateway_node::impl::note_reload(bool usable, const std::string& detail)
+{
+    decisions_.record(usable ? log_event::settings_reloaded
+                             : log_event::settings_unusable,
+                      {{"detail", detail}});
+}
+
+gateway_node::gateway_node(asio::io_context& io, node_settings settings,
+                           const wire_format& wire, keyed_log& log)
+    : impl_(std::make_unique<impl>(io, std::move(settings), wire, log))
+{
+}
+
+gateway_node::~gateway_node() = default;
+
+void gateway_node::stop()
+{
+    impl_->stop();
+}
+
+void gateway_node::note_reload(bool usable, const std::string& detail)
+{
+    impl_->note_reload(usable, detail);
+}
+
+} // namespace fescueridge::gateway
--- /dev/null
+++ b/src/gateway/metrics_text.cpp
@@ -0,0 +1,86 @@
+#include "metrics_text.hpp"
+
+#include <fmt/format.h>
+
+namespace fescueridge::gateway
+{
+namespace
+{
+
+class text_writer
+{
+public:
+    template <class Value>
+    void add(std::string_view name, std::string_view labels, Value value)
+    {
+        if (labels.empty())
+            out_ += fmt::format("fescueridge_{} {}\n", name, value);
+        else
+            out_ += fmt::format("fescueridge_{}{{{}}} {}\n", name, labels, value);
+    }
+
+    std::string take() { return std::move(out_); }
+
+private:
+    std::string out_;
+};
+
+void add_entry(text_writer& out, const entry_port& entry)
+{
+    const auto& counters = entry.counters();
+    out.add("requests_received_total", "", counters.received);
+    out.add("requests_of_server_total", "", counters.calls_of_server);
+    out.add("requests_answered_total", "", counters.answered);
+    out.add("requests_abandoned_total", "", counters.abandoned);
+    out.add("requests_retried_total", "", counters.retried);
+    for (const auto& [why, count] : counters.rejected)
+        out.add("requests_rejected_total", fmt::format("reason=\"{}\"", to_string(why)),
+                count);
+    const auto latency = entry.latency().summary(clock::now());
+    out.add("request_milliseconds", "quantile=\"0.5\"", latency.p50);
+    out.add("request_milliseconds", "quantile=\"0.95\"", latency.p95);
+    out.add("request_milliseconds", "quantile=\"0.99\"", latency.p99);
+    for (const auto& load : entry.arrivals())
+    {
+        const auto label = fmt::format("route=\"{}\"", load.route.get());
+        out.add("route_arrivals_per_second", label, load.arrivals_per_s);
+        out.add("route_admitted_share", label, entry.shares().share(load.route));
+    }
+}
+
+void add_executor(text_writer& out, const run_executor& executor)
+{
+    const auto& counters = executor.counters();
+    out.add("runs_answered_total", "", counters.answered);
+    out.add("runs_turned_away_total", "", counters.turned_away);
+    out.add("runs_rejected_by_server_total", "", counters.rejected_by_server);
+    out.add("runs_broken_off_total", "", counters.broken_off);
+    out.add("health_checks_total", "", counters.health_checks);
+    out.add("server_connections_opened_total", "", executor.connections_opened());
+    node_report_message report;
+    executor.fill_report(report);
+    out.add("server_accepts", "", report.accepting ? 1 : 0);
+    out.add("server_running", "", report.load.running);
+    out.add("server_waiting", "", report.load.waiting);
+    out.add("server_limit", "", report.limit);
+    out.add("server_queue_wait_milliseconds", "", report.queue_wait_ms);
+    out.add("server_slot_milliseconds", "", report.service_ms);
+}
+
+} // namespace
+
+std::string metrics_text(const entry_port& entry, const run_executor& executor,
+                         const peers& others, const decision_log& decisions,
+                         const route_table* table)
+{
+    text_writer out;
+    add_entry(out, entry);
+    add_executor(out, executor);
+    out.add("peers_known", "", others.all().size());
+    out.add("peers_linked", "", others.linked());
+    out.add("config_version", "", table ? table->config().version.get() : 0);
+    out.add("log_lines_left_out_total", "", decisions.left_out());
+    return out.take();
+}
+
+} // namespace fescueridge::gateway
--- /dev/null
+++ b/src/gateway/metrics_text.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <string>
+
+#include "fescueridge/gateway/entry_port.hpp"
+
+namespace fescueridge::gateway
+{
+
+/// Returns the counters, gauges and latency quantiles of a node in the Prometheus text
+/// format. `table` is null while no configuration is known.
+std::string metrics_text(const entry_port& entry, const run_executor& executor,
+                         const peers& others, const decision_log& decisions,
+                         const route_table* table);
+
+} // namespace fescueridge::gateway
--- /dev/null
+++ b/src/gateway/peers.cpp
@@ -0,0 +1,337 @@
+#include "fescueridge/gateway/peers.hpp"
+
+#include <algorithm>
+
+#include "fescueridge/base/random.hpp"
+
+namespace fescueridge::gateway
+{
+namespace
+{
+
+constexpr milliseconds dial_interval{100};
+constexpr milliseconds first_dial_pause{200};
+constexpr milliseconds longest_dial_pause{2'000};
+
+/// Of two nodes that learn of each other at the same time one dials first, so that they
+/// need not open two links.
+constexpr milliseconds second_dialler_pause{300};
+
+/// Heartbeat of the links. A link that is silent for longer loses its requests, and the
+/// peer gets no more.
+constexpr link_options heartbeat{milliseconds{300}, milliseconds{1'200},
+                                 milliseconds{1'000}};
+
+/// Weight of one outcome in the share of failures: about the last 20 requests.
+constexpr double outcome_weight = 0.05;
+
+forward_reply_message lost_reply(std::uint64_t number)
+{
+    forward_reply_message reply;
+    reply.number = number;
+    reply.result = forward_result::unknown;
+    reply.failure = forward_failure::link_lost;
+    return reply;
+}
+
+template <class... Handlers>
+struct overloaded : Handlers...
+{
+    using Handlers::operator()...;
+};
+template <class... Handlers>
+overloaded(Handlers...) -> overloaded<Handlers...>;
+
+} // namespace
+
+peers::peers(asio::io_context& io, const node_settings& settings, event_log& events,
+             decision_log& decisions, peer_callbacks callbacks)
+    : io_(io), settings_(settings), events_(events), decisions_(decisions),
+      callbacks_(std::move(callbacks)), dial_timer_(io)
+{
+    self_.node = settings.node;
+    self_.started_ms = wall_clock_ms();
+    self_.domain = settings.domain;
+    self_.link = settings.listen_link;
+}
+
+peers::~peers()
+{
+    close();
+}
+
+void peers::start()
+{
+    const auto hello = [this]
+    {
+        return hello_message{self_.node,
+                             incarnation(static_cast<std::uint64_t>(self_.started_ms)),
+                             self_.domain, sheet_version(0)};
+    };
+    hub_ = std::make_unique<link_hub>(io_, settings_.listen_link, hello, events_,
+                                      make_link_callbacks(), heartbeat);
+    start_dialling();
+}
+
+void peers::close()
+{
+    closed_ = true;
+    dial_timer_.cancel();
+    if (hub_)
+        hub_->close();
+}
+
+link_callbacks peers::make_link_callbacks()
+{
+    link_callbacks calls;
+    calls.on_open = [this](const link_ptr& opened, const hello_message& hello)
+    {
+        on_open(opened, hello);
+    };
+    calls.on_close = [this](const link_ptr& closed)
+    {
+        on_close(closed);
+    };
+    calls.on_message = [this](const link_ptr& from, link_message message)
+    {
+        on_message(from, std::move(message));
+    };
+    calls.on_fault = [this](const link_fault& fault)
+    {
+        if (fault.kind != link_fault_kind::connect_failed)
+            decisions_.record(log_event::link_fault,
+                              {{"cause", std::string(to_string(fault.kind))},
+                               {"remote", to_string(fault.remote)},
+                               {"detail", fault.detail}});
+    };
+    return calls;
+}
+
+void peers::learn(const node_record& record)
+{
+    if (record.node == self_.node || record.node.get().empty())
+        return;
+    auto [found, added] = peers_.try_emplace(record.node);
+    peer& known = found->second;
+    if (!added && record.started_ms <= known.record.started_ms)
+        return;
+    known.record = record;
+    known.dial_pause = milliseconds{0};
+    const auto now = clock::now();
+    known.next_dial = self_.node < record.node ? now : now + second_dialler_pause;
+}
+
+void peers::forget(const node_id& node)
+{
+    const auto found = peers_.find(node);
+    if (found != peers_.end() && !found->second.connection)
+        peers_.erase(found);
+}
+
+std::size_t peers::linked() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        peers_.begin(), peers_.end(),
+        [](const auto& entry) { return entry.second.connection != nullptr; }));
+}
+
+peer* peers::find(const link_ptr& connection)
+{
+    const auto found = peers_.find(connection->peer().node);
+    return found == peers_.end() ? nullptr : &found->second;
+}
+
+void peers::on_open(const link_ptr& opened, const hello_message& hello)
+{
+    peer& known = peers_[hello.node];
+    if (known.record.node != hello.node)
+    {
+        known.record.node = hello.node;
+        known.record.domain = hello.domain;
+    }
+    const bool first = !known.connection;
+    if (first)
+    {
+        known.connection = opened;
+        known.dial_pause = milliseconds{0};
+        known.in_flight = 0;
+    }
+    known_nodes_message nodes;
+    nodes.nodes.push_back(self_);
+    for (const auto& [node, other] : peers_)
+        if (other.record.link.port != 0)
+            nodes.nodes.push_back(other.record);
+    opened->send(nodes);
+    if (!first)
+        return;
+    decisions_.record(log_event::peer_connected, {{"peer", hello.node.get()}});
+    tell_own_server(opened, known);
+    callbacks_.on_link_open(opened);
+}
+
+// A process that was restarted does not know what its predecessor acknowledged.
+void peers::tell_own_server(const link_ptr& to, const peer& about)
+{
+    if (!about.report.server)
+        return;
+    to->send(own_server_message{*about.report.server});
+}
+
+void peers::on_close(const link_ptr& closed)
+{
+    std::vector<std::uint64_t> lost;
+    for (const auto& [number, entry] : forwarded_)
+        if (entry.connection == closed)
+            lost.push_back(number);
+    if (peer* known = find(closed); known && known->connection == closed)
+    {
+        known->connection = hub_->find(closed->peer().node);
+        known->in_flight = 0;
+        const auto now = clock::now();
+        known->unreachable_since = now;
+        known->next_dial = now;
+        decisions_.record(log_event::peer_lost,
+                          {{"peer", closed->peer().node.get()},
+                           {"requests_lost", static_cast<std::int64_t>(lost.size())},
+                           {"report_age_ms",
+                            static_cast<std::int64_t>((now - known->reported).count())}});
+    }
+    callbacks_.on_link_closed(closed);
+    for (const std::uint64_t number : lost)
+        take_reply(closed, lost_reply(number));
+}
+
+void peers::on_message(const link_ptr& from, link_message message)
+{
+    std::visit(
+        overloaded{[&](forward_message& m) { callbacks_.on_forward(from, std::move(m)); },
+                   [&](forward_reply_message& m) { take_reply(from, std::move(m)); },
+                   [&](forward_cancel_message& m) { callbacks_.on_cancel(from, m); },
+                   [&](node_report_message& m) { take_report(from, std::move(m)); },
+                   [&](config_pull_message& m) { callbacks_.on_config_pull(from, m); },
+                   [&](config_push_message& m) { callbacks_.on_config_push(m); },
+                   [&](suspect_message& m) { callbacks_.on_suspect(m); },
+                   [&](own_server_message& m) { callbacks_.on_own_server(m.server); },
+                   [&](known_nodes_message& m)
+                   {
+                       for (const auto& node : m.nodes)
+                           learn(node);
+                   },
+                   [](auto&)
+                   {
+                       // Messages of the nodes with the sheet; a gateway gets none.
+                   }},
+        message);
+}
+
+void peers::take_report(const link_ptr& from, node_report_message report)
+{
+    peer* known = find(from);
+    if (!known)
+        return;
+    // Routes and calls are told less often than the rest.
+    if (report.routes.empty())
+        report.routes = std::move(known->report.routes);
+    if (report.calls.empty())
+        report.calls = std::move(known->report.calls);
+    known->report = std::move(report);
+    known->reported = clock::now();
+    known->sent_since_report = 0;
+    callbacks_.on_report(*known);
+}
+
+std::uint64_t peers::forward(const node_id& node, forward_message message,
+                             forward_callback done)
+{
+    const auto found = peers_.find(node);
+    if (found == peers_.end() || !found->second.connection)
+        return 0;
+    peer& to = found->second;
+    message.number = ++next_number_;
+    if (!to.connection->send(message))
+        return 0;
+    ++to.in_flight;
+    ++to.sent_since_report;
+    forwarded_.emplace(message.number, forwarded{node, to.connection, std::move(done)});
+    return message.number;
+}
+
+void peers::take_reply(const link_ptr& from, forward_reply_message reply)
+{
+    const auto found = forwarded_.find(reply.number);
+    // A late reply to a request that was cancelled.
+    if (found == forwarded_.end() || found->second.connection != from)
+        return;
+    const auto done = std::move(found->second.done);
+    const auto node = found->second.node;
+    forwarded_.erase(found);
+    if (const auto known = peers_.find(node); known != peers_.end())
+    {
+        peer& by = known->second;
+        if (by.in_flight > 0)
+            --by.in_flight;
+        if (reply.failure != forward_failure::link_lost)
+        {
+            by.report.load = reply.load;
+            by.sent_since_report = 0;
+        }
+    }
+    done(std::move(reply));
+}
+
+void peers::cancel(std::uint64_t number)
+{
+    const auto found = forwarded_.find(number);
+    if (found == forwarded_.end())
+        return;
+    found->second.connection->send(forward_cancel_message{number});
+    if (const auto known = peers_.find(found->second.node);
+        known != peers_.end() && known->second.in_flight > 0)
+        --known->second.in_flight;
+    forwarded_.erase(found);
+}
+
+void peers::broadcast(const link_message& message)
+{
+    for (const auto& [node, other] : peers_)
+        if (other.connection)
+            other.connection->send(message);
+}
+
+void peers::record_outcome(const node_id& node, bool failed)
+{
+    const auto found = peers_.find(node);
+    if (found == peers_.end())
+        return;
+    double& share = found->second.failure_share;
+    share += outcome_weight * ((failed ? 1.0 : 0.0) - share);
+}
+
+void peers::start_dialling()
+{
+    dial_timer_.expires_after(dial_interval);
+    dial_timer_.async_wait(
+        [this](asio::error_code ec)
+        {
+            if (ec || closed_)
+                return;
+            dial_missing();
+            start_dialling();
+        });
+}
+
+void peers::dial_missing()
+{
+    const auto now = clock::now();
+    for (auto& [node, other] : peers_)
+    {
+        if (other.connection || other.record.link.port == 0 || now < other.next_dial)
+            continue;
+        other.dial_pause =
+            std::clamp(2 * other.dial_pause, first_dial_pause, longest_dial_pause);
+        other.next_dial = now + other.dial_pause;
+        hub_->dial(other.record.link);
+    }
+}
+
+} // namespace fescueridge::gateway
--- /dev/null
+++ b/src/gateway/routing_config.cpp
@@ -0,0 +1,95 @@
+#include "fescueridge/gateway/routing_config.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <stdexcept>
+
+namespace fescueridge::gateway
+{
+namespace
+{
+
+std::string host_key(std::string_view host)
+{
+    std::string key(host.substr(0, host.find(':')));
+    std::transform(
+        key.begin(), key.end(), key.begin(),
+        [](char c)
+        { return static_cast<char>(std::tolower(static_cast<unsigned char>(c))); });
+    return key;
+}
+
+bool same_targets(const std::vector<weighted_target>& a,
+                  const std::vector<weighted_target>& b)
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                      [](const weighted_target& x, const weighted_target& y)
+                      { return x.service == y.service && x.weight == y.weight; });
+}
+
+} // namespace
+
+route_table::route_table(routing_config config) : config_(std::move(config))
+{
+    for (std::size_t i = 0; i < config_.routes.size(); ++i)
+        by_host_[host_key(config_.routes[i].host)].push_back(i);
+    const auto longer_prefix = [this](std::size_t a, std::size_t b)
+    {
+        return config_.routes[a].path_prefix.size() >
+               config_.routes[b].path_prefix.size();
+    };
+    for (auto& [host, indices] : by_host_)
+        std::sort(indices.begin(), indices.end(), longer_prefix);
+}
+
+const route* route_table::find(std::string_view host, std::string_view path) const
+{
+    const auto found = by_host_.find(host_key(host));
+    if (found == by_host_.end())
+        return nullptr;
+    for (const std::size_t index : found->second)
+    {
+        const auto& prefix = config_.routes[index].path_prefix;
+        if (path.substr(0, prefix.size()) == prefix)
+            return &config_.routes[index];
+    }
+    return nullptr;
+}
+
+const route* route_table::find(const route_name& name) const
+{
+    const auto found =
+        std::find_if(config_.routes.begin(), config_.routes.end(),
+                     [&](const route& candidate) { return candidate.name == name; });
+    return found == config_.routes.end() ? nullptr : &*found;
+}
+
+const service_settings* route_table::service(const service_name& name) const
+{
+    const auto found = config_.services.find(name);
+    return found == config_.services.end() ? nullptr : &found->second;
+}
+
+const service_name& weighted_picker::next(const std::vector<weighted_target>& targets)
+{
+    if (targets.empty())
+        throw std::logic_error("a route has no target");
+    if (!same_targets(targets, targets_))
+    {
+        targets_ = targets;
+        credit_.assign(targets.size(), 0);
+    }
+    double total = 0;
+    std::size_t best = 0;
+    for (std::size_t i = 0; i < targets_.size(); ++i)
+    {
+        total += targets_[i].weight;
+        credit_[i] += targets_[i].weight;
+        if (credit_[i] > credit_[best])
+            best = i;
+    }
+    credit_[best] -= total;
+    return targets_[best].service;
+}
+
+} // namespace fescueridge::gateway
--- /dev/null
+++ b/src/gateway/run_executor.cpp
@@ -0,0 +1,497 @@
+#include "fescueridge/gateway/run_executor.hpp"
+
+#include <algorithm>
+
+#include "fescueridge/base/random.hpp"
+#include "fescueridge/overload/quarantine.hpp"
+
+namespace fescueridge::gateway
+{
+namespace
+{
+
+/// Slots that are assumed of a server that has passed a health check but has not
+/// announced itself to this process yet.
+const slot_count assumed_slots{16};
+
+/// Part of the slots that stays free: health checks and new connections take slots for a
+/// moment, and some servers slow down when they are full.
+constexpr std::uint32_t spare_slots_in = 20;
+
+/// A server's own answer at the deadline is worth waiting for.
+constexpr milliseconds answer_margin{100};
+
+/// Connections beside those that carry requests, while others are being closed.
+constexpr std::uint32_t spare_connections = 2;
+
+constexpr milliseconds probe_interval{300};
+constexpr milliseconds probe_timeout{500};
+
+/// A server that answers nothing for this many usual slot times, and this long at least,
+/// is checked before it gets more.
+constexpr double silent_slot_times = 10;
+constexpr milliseconds least_silence{1'000};
+
+/// Idle time after which connections to a server that states none are closed.
+constexpr milliseconds idle_timeout{4'000};
+
+http_client_options pool_options()
+{
+    http_client_options options;
+    options.answers_until_end = true;
+    options.idle_timeout = idle_timeout;
+    return options;
+}
+
+forward_reply_message make_reply(forward_result result, forward_failure failure)
+{
+    forward_reply_message reply;
+    reply.result = result;
+    reply.failure = failure;
+    return reply;
+}
+
+} // namespace
+
+run_executor::run_executor(asio::io_context& io, const node_settings& settings,
+                           const wire_format& wire, decision_log& decisions,
+                           executor_callbacks callbacks)
+    : io_(io), settings_(settings), wire_(wire), decisions_(decisions),
+      callbacks_(std::move(callbacks)), tracker_(settings.heartbeat_interval), queue_(0)
+{
+    renew_pool();
+}
+
+run_executor::~run_executor()
+{
+    close();
+}
+
+void run_executor::close()
+{
+    *alive_ = false;
+    if (pool_)
+        pool_->close();
+    if (probe_pool_)
+        probe_pool_->close();
+}
+
+void run_executor::renew_pool()
+{
+    if (pool_)
+    {
+        opened_before_ += pool_->opened();
+        pool_->close();
+    }
+    pool_ = std::make_unique<http_client_pool>(io_, settings_.server, connection_limit(),
+                                               pool_options());
+    if (!probe_pool_)
+        probe_pool_ = std::make_unique<http_client_pool>(
+            io_, settings_.server, connection_count(1), pool_options());
+}
+
+std::uint64_t run_executor::connections_opened() const
+{
+    return opened_before_ + pool_->opened() + probe_pool_->opened();
+}
+
+std::uint32_t run_executor::limit_for(slot_count slots) const
+{
+    const std::uint32_t spare = std::max(1U, slots.get() / spare_slots_in);
+    return std::max(1U, slots.get() > spare ? slots.get() - spare : slots.get());
+}
+
+void run_executor::configure(const service_settings& settings)
+{
+    health_path_ = settings.health_path;
+    if (max_connections_ == settings.max_connections.get())
+        return;
+    max_connections_ = settings.max_connections.get();
+    pool_->set_limit(connection_limit());
+}
+
+connection_count run_executor::connection_limit() const
+{
+    const auto wanted = queue_.limit() + spare_connections;
+    const auto most = max_connections_ > 1 ? max_connections_ - 1 : wanted;
+    return connection_count(std::max(1U, std::min(wanted, most)));
+}
+
+void run_executor::use_slots(slot_count slots)
+{
+    const auto moves = queue_.set_limit(limit_for(slots), clock::now());
+    pool_->set_limit(connection_limit());
+    carry_out(moves);
+}
+
+server_change run_executor::on_announcement(const server_announcement& announcement)
+{
+    const auto before = tracker_.server();
+    const auto now = clock::now();
+    server_change change = server_change::none;
+    if (const auto* heartbeat = std::get_if<server_heartbeat>(&announcement))
+        change = tracker_.on_heartbeat(*heartbeat, now);
+    else
+        change = tracker_.on_departure(std::get<server_departure>(announcement), now);
+    const auto& after = tracker_.server();
+    const bool restarted = change == server_change::started && before &&
+                           (before->id != after->id || before->born_ms != 0);
+    if (restarted)
+        on_restart(*before);
+    if (after && after->state == server_state::ready)
+        use_slots(after->slots);
+    note_change(change, "announcement");
+    return change;
+}
+
+void run_executor::on_restart(const server_record& before)
+{
+    renew_pool();
+    if (before.state != server_state::ready)
+        return;
+    const auto crash =
+        stable_hash(before.id.get(), static_cast<std::uint64_t>(before.born_ms));
+    for (const auto& suspect : suspects_.on_crash(crash, clock::now()))
+        callbacks_.on_suspect(suspect);
+}
+
+void run_executor::on_memory_of_peer(const server_record& server)
+{
+    note_change(tracker_.on_memory_of_peer(server), "memory_of_peer");
+}
+
+void run_executor::note_change(server_change change, const std::string& cause)
+{
+    if (change == server_change::none)
+        return;
+    const auto& server = tracker_.server();
+    std::vector<event_field> fields{{"change", std::string(to_string(change))},
+                                    {"cause", cause},
+                                    {"running", std::int64_t{queue_.running()}},
+                                    {"waiting", std::int64_t{queue_.waiting()}}};
+    if (server)
+    {
+        fields.push_back({"server", server->id.get()});
+        fields.push_back({"service", server->service.get()});
+        fields.push_back({"state", std::string(to_string(server->state))});
+        fields.push_back({"sequence", static_cast<std::int64_t>(server->sequence)});
+        fields.push_back({"born_ms", server->born_ms});
+        fields.push_back({"slots", std::int64_t{server->slots.get()}});
+    }
+    decisions_.record(log_event::server_changed, std::move(fields));
+    if (change == server_change::stale)
+        return;
+    if (change == server_change::leaving)
+        refuse_waiting(forward_failure::server_leaving);
+    if (change == server_change::suspected)
+        refuse_waiting(forward_failure::server_down);
+    callbacks_.on_change();
+}
+
+void run_executor::refuse_waiting(forward_failure why)
+{
+    for (const run_number number : queue_.drop_waiting())
+        fail(number, forward_result::not_run, why, false);
+}
+
+void run_executor::stop_accepting()
+{
+    stopping_ = true;
+    refuse_waiting(forward_failure::server_leaving);
+}
+
+server_load run_executor::load() const
+{
+    return {queue_.running(), queue_.waiting()};
+}
+
+void run_executor::fill_report(node_report_message& report) const
+{
+    report.server = tracker_.server();
+    report.accepting = accepts();
+    report.load = load();
+    report.limit = queue_.limit();
+    report.queue_wait_ms = queue_.wait_ms(clock::now());
+    report.service_ms = queue_.slot_ms();
+}
+
+void run_executor::fill_learned(node_report_message& report) const
+{
+    report.calls = graph_.edges();
+    for (auto& route : report.routes)
+        route.slot_ms = queue_.slot_ms(route.route);
+}
+
+std::vector<route_name> run_executor::measured_routes() const
+{
+    std::vector<route_name> routes;
+    for (const auto& [route, ms] : queue_.slot_times())
+        routes.push_back(route);
+    return routes;
+}
+
+run_number run_executor::submit(forward_message call, callback done)
+{
+    const run_number number(++next_number_);
+    const auto now = clock::now();
+    run entry;
+    entry.deadline = now + call.time_left;
+    entry.print = fingerprint_of(call.caller, call.method, call.target, call.body);
+    entry.call = std::move(call);
+    entry.done = std::move(done);
+    const auto& held = runs_.emplace(number, std::move(entry)).first->second;
+    const auto& server = tracker_.server();
+    if (stopping_ || !server || server->service != held.call.service ||
+        (!tracker_.accepts() && !tracker_.suspected()))
+    {
+        fail(number, forward_result::not_run, forward_failure::server_leaving, false);
+        return number;
+    }
+    if (tracker_.suspected())
+    {
+        fail(number, forward_result::not_run, forward_failure::server_down, false);
+        return number;
+    }
+    if (suspects_.quarantined(held.print, now))
+    {
+        fail(number, forward_result::not_run, forward_failure::quarantined, false);
+        return number;
+    }
+    const auto decision = queue_.offer({number, held.call.route, held.deadline,
+                                        held.call.target_latency, held.call.from_server},
+                                       now);
+    if (std::holds_alternative<run_started>(decision))
+        start(number);
+    else if (const auto* turned_away = std::get_if<run_turned_away>(&decision))
+        fail(number, forward_result::not_run,
+             turned_away->no_time ? forward_failure::deadline
+                                  : forward_failure::queue_full,
+             false);
+    return number;
+}
+
+void run_executor::start(run_number number)
+{
+    run& started = runs_.at(number);
+    const auto now = clock::now();
+    const auto left = started.deadline - now;
+    const auto& server = tracker_.server();
+    if (!server || left <= milliseconds{0})
+        return fail(number, forward_result::not_run, forward_failure::deadline, false);
+    started.sent = now;
+    // A server is overdue only while it has something to answer.
+    if (queue_.running() <= 1)
+        last_answer_ = now;
+    graph_.on_run_started(started.call.route);
+    const auto request = wire_.make_server_request(started.call, server->id, left);
+    started.handle = pool_->send(
+        request, left + answer_margin,
+        [this, alive = alive_, number](http_result result)
+        {
+            if (*alive)
+                on_result(number, std::move(result));
+        },
+        [this, alive = alive_, id = started.call.request](const http_response& answer)
+        { return !*alive || wire_.belongs_to(answer, id); });
+}
+
+void run_executor::on_result(run_number number, http_result result)
+{
+    const auto found = runs_.find(number);
+    if (found == runs_.end())
+        return;
+    graph_.on_run_ended(found->second.call.route);
+    if (auto* answer = std::get_if<http_response>(&result))
+        on_answer(number, std::move(*answer));
+    else
+        on_failure(number, std::get<http_failure>(result));
+}
+
+void run_executor::on_answer(run_number number, http_response answer)
+{
+    last_answer_ = clock::now();
+    note_change(tracker_.on_answer(), "answer");
+    const run& ended = runs_.at(number);
+    switch (wire_.judge(answer))
+    {
+    case server_verdict::wrong_server:
+        note_change(tracker_.on_no_answer(last_answer_),
+                    "another_server_has_the_address");
+        [[fallthrough]];
+    case server_verdict::not_run:
+        ++counters_.rejected_by_server;
+        log_run(log_event::run_failed, ended, "rejected_by_server");
+        return fail(number, forward_result::not_run, forward_failure::server_rejected,
+                    false);
+    case server_verdict::misleading:
+        log_run(log_event::run_failed, ended, "says_not_run_without_mark");
+        return fail(number, forward_result::unknown, forward_failure::server_broke_off,
+                    true);
+    case server_verdict::answered:
+        break;
+    }
+    constexpr int first_failure_status = 500;
+    if (answer.status < first_failure_status)
+        suspects_.on_completed(ended.print);
+    ++counters_.answered;
+    forward_reply_message reply = make_reply(forward_result::answered, {});
+    reply.status = answer.status;
+    reply.headers = std::move(answer.headers);
+    remove_hop_headers(reply.headers);
+    reply.body = std::move(answer.body);
+    finish(number, std::move(reply), true);
+}
+
+void run_executor::on_failure(run_number number, const http_failure& failure)
+{
+    const run& ended = runs_.at(number);
+    const auto now = clock::now();
+    if (!failure.sent)
+    {
+        if (failure.kind == http_failure_kind::connect_failed)
+            note_change(tracker_.on_no_answer(now), "connection_refused");
+        if (runs_.count(number) == 0)
+            return;
+        log_run(log_event::run_failed, ended, "not_sent");
+        const bool no_time = failure.kind == http_failure_kind::no_connection;
+        return fail(number, forward_result::not_run,
+                    no_time ? forward_failure::deadline : forward_failure::server_down,
+                    false);
+    }
+    if (failure.kind == http_failure_kind::timed_out)
+    {
+        log_run(log_event::run_failed, ended, "no_answer_in_time");
+        return fail(number, forward_result::unknown, forward_failure::deadline, true);
+    }
+    if (failure.kind == http_failure_kind::cut)
+        suspects_.on_cut(ended.print, now);
+    ++counters_.broken_off;
+    log_run(log_event::run_failed, ended, "broken_off");
+    fail(number, forward_result::unknown, forward_failure::server_broke_off, false);
+}
+
+void run_executor::fail(run_number number, forward_result result, forward_failure failure,
+                        bool sample)
+{
+    if (failure == forward_failure::queue_full)
+    {
+        ++counters_.turned_away;
+        log_run(log_event::run_turned_away, runs_.at(number), "queue_full");
+    }
+    finish(number, make_reply(result, failure), sample);
+}
+
+void run_executor::finish(run_number number, forward_reply_message reply, bool sample)
+{
+    const auto found = runs_.find(number);
+    if (found == runs_.end())
+        return;
+    run ended = std::move(found->second);
+    runs_.erase(found);
+    const auto moves = queue_.finish(number, clock::now(), sample);
+    reply.number = ended.call.number;
+    reply.load = load();
+    if (!ended.cancelled && ended.done)
+        ended.done(std::move(reply));
+    carry_out(moves);
+}
+
+void run_executor::carry_out(const queue_moves& moves)
+{
+    for (const run_number number : moves.drop)
+        fail(number, forward_result::not_run, forward_failure::queue_full, false);
+    for (const run_number number : moves.start)
+        if (runs_.count(number) != 0)
+            start(number);
+}
+
+void run_executor::cancel(run_number number)
+{
+    const auto found = runs_.find(number);
+    if (found == runs_.end())
+        return;
+    run& held = found->second;
+    const bool running = held.sent != time_point{};
+    held.cancelled = true;
+    if (!running)
+    {
+        runs_.erase(found);
+        carry_out(queue_.cancel(number, clock::now()));
+        return;
+    }
+    // Breaking off a request that may run only once would waste what it has done.
+    if (held.call.repeat == repeat_rule::idempotent)
+        held.handle.cancel();
+}
+
+void run_executor::poll()
+{
+    const auto now = clock::now();
+    carry_out(queue_.poll(now));
+    note_change(tracker_.poll(now), "heartbeats_missing");
+    const auto silent_for = now - last_answer_;
+    const milliseconds bound(std::max<std::int64_t>(
+        least_silence.count(),
+        static_cast<std::int64_t>(silent_slot_times * queue_.slot_ms())));
+    if (queue_.running() > 0 && tracker_.accepts() && silent_for > bound)
+        note_change(tracker_.on_no_answer(now), "no_answers");
+    const bool unknown = !tracker_.server();
+    if ((unknown || tracker_.suspected()) && now >= next_probe_)
+        probe();
+}
+
+void run_executor::probe()
+{
+    if (probing_ || health_path_.empty() || stopping_)
+        return;
+    probing_ = true;
+    next_probe_ = clock::now() + probe_interval;
+    ++counters_.health_checks;
+    http_request request;
+    request.method = "GET";
+    request.target = health_path_;
+    probe_pool_->send(request, probe_timeout,
+                      [this, alive = alive_](http_result result)
+                      {
+                          if (!*alive)
+                              return;
+                          probing_ = false;
+                          const auto* answer = std::get_if<http_response>(&result);
+                          const auto id =
+                              answer ? wire_.healthy_instance(*answer) : std::nullopt;
+                          if (!id)
+                              return;
+                          const auto now = clock::now();
+                          last_answer_ = now;
+                          const bool unknown = !tracker_.server();
+                          const auto change = tracker_.on_healthy(*id, settings_.service,
+                                                                  assumed_slots, now);
+                          if (unknown && tracker_.server())
+                              use_slots(tracker_.server()->slots);
+                          note_change(change, "health_check");
+                      });
+}
+
+void run_executor::log_run(log_event event, const run& of, const char* outcome)
+{
+    if (!decisions_.wants(log_weight::failure, of.call.request))
+        return;
+    const auto now = clock::now();
+    const bool sent = of.sent != time_point{};
+    const auto& server = tracker_.server();
+    decisions_.record(
+        event,
+        {{"request", of.call.request.get()},
+         {"route", of.call.route.get()},
+         {"outcome", std::string(outcome)},
+         {"server", server ? server->id.get() : std::string()},
+         {"sent_ms_ago", static_cast<std::int64_t>(sent ? (now - of.sent).count() : -1)},
+         {"time_left_ms", static_cast<std::int64_t>((of.deadline - now).count())},
+         {"running", std::int64_t{queue_.running()}},
+         {"waiting", std::int64_t{queue_.waiting()}},
+         {"limit", std::int64_t{queue_.limit()}},
+         {"slot_ms", queue_.slot_ms()}},
+        log_weight::failure);
+}
+
+} // namespace fescueridge::gateway
--- /dev/null
+++ b/src/gateway/run_queue.cpp
@@ -0,0 +1,187 @@
+#include "fescueridge/gateway/run_queue.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace fescueridge::gateway
+{
+namespace
+{
+
+/// Weight of a new sample in the mean slot time: about the last 20 requests.
+constexpr double slot_weight = 0.05;
+
+/// Weight of a new sample in the mean wait: about the last 10 starts.
+constexpr double wait_weight = 0.1;
+
+/// Time after which the mean wait has halved when nothing starts.
+constexpr double wait_half_life_ms = 200;
+
+/// Part of the target latency that a client's request may wait for a slot. What follows
+/// (another server, or a return later) needs the rest.
+constexpr double client_wait_share = 1.0 / 3;
+
+double to_ms(clock::duration time)
+{
+    return static_cast<double>(time.count());
+}
+
+milliseconds from_ms(double ms)
+{
+    return milliseconds(static_cast<std::int64_t>(ms));
+}
+
+} // namespace
+
+double run_queue::slot_ms(const route_name& route) const
+{
+    const auto found = slot_ms_by_route_.find(route);
+    return found == slot_ms_by_route_.end() ? 0 : found->second;
+}
+
+double run_queue::expected_slot_ms(const route_name& route) const
+{
+    const double known = slot_ms(route);
+    return known > 0 ? known : slot_ms_;
+}
+
+double run_queue::wait_ms(time_point now) const
+{
+    const double idle_ms = to_ms(now - last_wait_);
+    return wait_ms_ / (1 + std::max(0.0, idle_ms) / wait_half_life_ms);
+}
+
+double run_queue::expected_wait_ms(const run_offer& run, time_point now) const
+{
+    const order_key place{now + run.target_latency, next_order_};
+    const auto ahead = std::distance(waiting_.begin(), waiting_.lower_bound(place));
+    return static_cast<double>(ahead + 1) * slot_ms_ / std::max(1U, limit_);
+}
+
+offer_decision run_queue::offer(const run_offer& run, time_point now)
+{
+    if (now + from_ms(expected_slot_ms(run.route) / 2) >= run.deadline)
+        return run_turned_away{true};
+    if (running_.size() < limit_ && waiting_.empty())
+    {
+        start(run, now, now);
+        return run_started{};
+    }
+    const double wait = expected_wait_ms(run, now);
+    const bool ends_late =
+        now + from_ms(wait + expected_slot_ms(run.route) / 2) >= run.deadline;
+    const bool too_long =
+        !run.from_server && wait > client_wait_share * to_ms(run.target_latency);
+    if (limit_ == 0 || ends_late || too_long)
+        return run_turned_away{};
+    const order_key place{now + run.target_latency, next_order_++};
+    waiting_.emplace(place, waiting_run{run, now});
+    places_.emplace(run.number, place);
+    return run_waits{};
+}
+
+void run_queue::start(const run_offer& run, time_point arrival, time_point now)
+{
+    running_.emplace(run.number, running_run{run.route, now});
+    record_wait(to_ms(now - arrival), now);
+}
+
+void run_queue::record_wait(double ms, time_point now)
+{
+    wait_ms_ = wait_ms(now) * (1 - wait_weight) + ms * wait_weight;
+    last_wait_ = now;
+}
+
+bool run_queue::has_waited_too_long(const waiting_run& run, time_point now) const
+{
+    if (now + from_ms(expected_slot_ms(run.offer.route) / 2) >= run.offer.deadline)
+        return true;
+    // Twice the bound of offer(): a wait that was promised shorter may be exceeded a bit.
+    const double bound = 2 * client_wait_share * to_ms(run.offer.target_latency);
+    return !run.offer.from_server && to_ms(now - run.arrival) > bound;
+}
+
+void run_queue::fill(time_point now, queue_moves& moves)
+{
+    while (running_.size() < limit_ && !waiting_.empty())
+    {
+        const auto first = waiting_.begin();
+        const auto next = first->second;
+        waiting_.erase(first);
+        places_.erase(next.offer.number);
+        if (has_waited_too_long(next, now))
+        {
+            moves.drop.push_back(next.offer.number);
+            continue;
+        }
+        start(next.offer, next.arrival, now);
+        moves.start.push_back(next.offer.number);
+    }
+}
+
+queue_moves run_queue::finish(run_number number, time_point now, bool sample)
+{
+    queue_moves moves;
+    const auto found = running_.find(number);
+    if (found == running_.end())
+        return moves;
+    if (sample)
+    {
+        const double ms = to_ms(now - found->second.since);
+        double& of_route = slot_ms_by_route_[found->second.route];
+        of_route = of_route > 0 ? of_route + slot_weight * (ms - of_route) : ms;
+        slot_ms_ = slot_ms_ > 0 ? slot_ms_ + slot_weight * (ms - slot_ms_) : ms;
+    }
+    running_.erase(found);
+    fill(now, moves);
+    return moves;
+}
+
+queue_moves run_queue::cancel(run_number number, time_point now)
+{
+    const auto place = places_.find(number);
+    if (place == places_.end())
+        return finish(number, now, false);
+    waiting_.erase(place->second);
+    places_.erase(place);
+    return {};
+}
+
+queue_moves run_queue::poll(time_point now)
+{
+    queue_moves moves;
+    for (auto it = waiting_.begin(); it != waiting_.end();)
+    {
+        if (!has_waited_too_long(it->second, now))
+        {
+            ++it;
+            continue;
+        }
+        record_wait(to_ms(now - it->second.arrival), now);
+        moves.drop.push_back(it->second.offer.number);
+        places_.erase(it->second.offer.number);
+        it = waiting_.erase(it);
+    }
+    fill(now, moves);
+    return moves;
+}
+
+std::vector<run_number> run_queue::drop_waiting()
+{
+    std::vector<run_number> dropped;
+    for (const auto& [place, run] : waiting_)
+        dropped.push_back(run.offer.number);
+    waiting_.clear();
+    places_.clear();
+    return dropped;
+}
+
+queue_moves run_queue::set_limit(std::uint32_t limit, time_point now)
+{
+    limit_ = limit;
+    queue_moves moves;
+    fill(now, moves);
+    return moves;
+}
+
+} // namespace fescueridge::gateway
--- /dev/null
+++ b/src/gateway/server_tracker.cpp
@@ -0,0 +1,162 @@
+#include "fescueridge/gateway/server_tracker.hpp"
+
+#include <algorithm>
+
+namespace fescueridge::gateway
+{
+namespace
+{
+
+/// Heartbeats that may be missing before a server counts as gone.
+constexpr int missing_heartbeats = 4;
+
+bool is_leaving(server_state state)
+{
+    return state == server_state::draining || state == server_state::gone;
+}
+
+} // namespace
+
+std::string_view to_string(server_change value) noexcept
+{
+    switch (value)
+    {
+    case server_change::none:
+        return "none";
+    case server_change::stale:
+        return "stale";
+    case server_change::started:
+        return "started";
+    case server_change::ready:
+        return "ready";
+    case server_change::leaving:
+        return "leaving";
+    case server_change::suspected:
+        return "suspected";
+    case server_change::recovered:
+        return "recovered";
+    }
+    return "none";
+}
+
+bool server_tracker::accepts() const
+{
+    return server_ && !is_leaving(server_->state) && !suspected_;
+}
+
+server_change server_tracker::begin(const server_record& server, time_point now)
+{
+    const bool another =
+        !server_ || server_->id != server.id || server_->born_ms != server.born_ms;
+    server_ = server;
+    latest_born_ms_ = std::max(latest_born_ms_, server.born_ms);
+    last_sign_ = now;
+    suspected_ = false;
+    return another ? server_change::started : server_change::ready;
+}
+
+server_change server_tracker::on_heartbeat(const server_heartbeat& heartbeat,
+                                           time_point now)
+{
+    const server_record& said = heartbeat.server;
+    if (said.born_ms < latest_born_ms_)
+        return server_change::stale;
+    const bool same_start =
+        server_ && server_->id == said.id && server_->born_ms == said.born_ms;
+    if (!same_start)
+        return begin(said, now);
+    if (said.sequence <= server_->sequence)
+        return server_change::stale;
+    // A server that has left does not return in the same start.
+    if (server_->state == server_state::gone)
+        return server_change::stale;
+    const bool was_leaving = is_leaving(server_->state);
+    const bool was_suspected = suspected_;
+    const auto state = was_leaving ? server_state::draining : said.state;
+    server_ = said;
+    server_->state = state;
+    last_sign_ = now;
+    suspected_ = false;
+    if (!was_leaving && is_leaving(state))
+        return server_change::leaving;
+    return was_suspected ? server_change::recovered : server_change::none;
+}
+
+server_change server_tracker::on_departure(const server_departure& departure,
+                                           time_point now)
+{
+    if (!server_)
+    {
+        server_record left;
+        left.id = departure.id;
+        left.born_ms = departure.born_ms.value_or(0);
+        return on_memory_of_peer(left);
+    }
+    const bool other_start = departure.born_ms && *departure.born_ms != server_->born_ms;
+    if (server_->id != departure.id || other_start)
+        return server_change::stale;
+    last_sign_ = now;
+    if (server_->state == server_state::gone)
+        return server_change::none;
+    server_->state = server_state::gone;
+    return server_change::leaving;
+}
+
+server_change server_tracker::on_memory_of_peer(const server_record& server)
+{
+    if (!is_leaving(server.state) || server.born_ms < latest_born_ms_)
+        return server_change::none;
+    const bool same_start =
+        server_ && server_->id == server.id && server_->born_ms <= server.born_ms;
+    if (server_ && (!same_start || is_leaving(server_->state)))
+        return server_change::none;
+    latest_born_ms_ = std::max(latest_born_ms_, server.born_ms);
+    server_ = server;
+    return server_change::leaving;
+}
+
+server_change server_tracker::on_no_answer(time_point /*now*/)
+{
+    if (!server_ || suspected_ || is_leaving(server_->state))
+        return server_change::none;
+    suspected_ = true;
+    return server_change::suspected;
+}
+
+server_change server_tracker::on_healthy(const instance_id& id,
+                                         const service_name& service,
+                                         slot_count assumed_slots, time_point now)
+{
+    if (!server_)
+    {
+        server_record found;
+        found.id = id;
+        found.service = service;
+        found.slots = assumed_slots;
+        found.state = server_state::ready;
+        found.born_ms = latest_born_ms_;
+        return begin(found, now);
+    }
+    if (server_->id != id || !suspected_)
+        return server_change::none;
+    last_sign_ = now;
+    suspected_ = false;
+    return server_change::recovered;
+}
+
+server_change server_tracker::on_answer()
+{
+    if (!suspected_)
+        return server_change::none;
+    suspected_ = false;
+    return server_change::recovered;
+}
+
+server_change server_tracker::poll(time_point now)
+{
+    if (!accepts() || now - last_sign_ < missing_heartbeats * heartbeat_interval_)
+        return server_change::none;
+    return on_no_answer(now);
+}
+
+} // namespace fescueridge::gateway
--- /dev/null
+++ b/src/gateway/topic_follower.cpp
@@ -0,0 +1,145 @@
+#include "fescueridge/gateway/topic_follower.hpp"
+
+#include <algorithm>
+
+namespace fescueridge::gateway
+{
+namespace
+{
+
+/// How long a read waits for new records. A connection that went silent is noticed after
+/// this time and the margin.
+constexpr milliseconds read_wait{5'000};
+constexpr milliseconds read_margin{1'000};
+
+constexpr milliseconds list_timeout{1'000};
+
+/// Pauses after failures: the first is short, since one lost answer is the common case.
+constexpr milliseconds first_pause{100};
+constexpr milliseconds longest_pause{800};
+
+} // namespace
+
+topic_follower::topic_follower(asio::io_context& io, keyed_log& log,
+                               decision_log& decisions, topic_name topic,
+                               topic_callbacks callbacks)
+    : log_(log), decisions_(decisions), topic_(std::move(topic)),
+      callbacks_(std::move(callbacks)), timer_(io)
+{
+}
+
+void topic_follower::start()
+{
+    list({});
+}
+
+void topic_follower::stop()
+{
+    stopped_ = true;
+    timer_.cancel();
+}
+
+void topic_follower::list(const std::string& after)
+{
+    last_key_ = after;
+    log_.newest(topic_, after, list_timeout,
+                [weak = weak_from_this()](log_result<newest_page> result)
+                {
+                    const auto self = weak.lock();
+                    if (!self || self->stopped_)
+                        return;
+                    if (const auto* failure = std::get_if<log_failure>(&result))
+                        return self->failed(*failure, true);
+                    self->take(std::get<newest_page>(result));
+                });
+}
+
+void topic_follower::take(const newest_page& page)
+{
+    contact();
+    if (last_key_.empty())
+        next_ = page.end;
+    for (const auto& record : page.records)
+        callbacks_.on_record(record);
+    if (stopped_)
+        return;
+    if (page.more && !page.records.empty())
+        return list(page.records.back().key);
+    listed_ = true;
+    if (callbacks_.on_listed)
+        callbacks_.on_listed();
+    read();
+}
+
+void topic_follower::read()
+{
+    log_.read(topic_, next_, read_wait, read_wait + read_margin,
+              [weak = weak_from_this()](log_result<record_batch> result)
+              {
+                  const auto self = weak.lock();
+                  if (!self || self->stopped_)
+                      return;
+                  if (const auto* failure = std::get_if<log_failure>(&result))
+                      return self->failed(*failure, false);
+                  self->take(std::get<record_batch>(result));
+              });
+}
+
+void topic_follower::take(const record_batch& batch)
+{
+    contact();
+    next_ = std::max(next_, batch.next);
+    if (batch.unreadable > 0)
+        decisions_.record(log_event::records_unreadable,
+                          {{"topic", topic_.get()},
+                           {"records", static_cast<std::int64_t>(batch.unreadable)}});
+    for (const auto& record : batch.records)
+        callbacks_.on_record(record);
+    if (!stopped_)
+        read();
+}
+
+void topic_follower::contact()
+{
+    last_contact_ = clock::now();
+    pause_ = milliseconds{0};
+    if (std::exchange(lost_, false))
+        decisions_.record(log_event::log_regained, {{"topic", topic_.get()}});
+}
+
+void topic_follower::failed(const log_failure& failure, bool listing)
+{
+    if (!std::exchange(lost_, true))
+        decisions_.record(log_event::log_lost,
+                          {{"topic", topic_.get()},
+                           {"cause", std::string(to_string(failure.kind))},
+                           {"detail", failure.detail},
+                           {"next_offset", static_cast<std::int64_t>(next_.get())}});
+    const bool list_anew = listing || failure.kind == log_failure_kind::truncated ||
+                           failure.kind == log_failure_kind::malformed;
+    if (failure.kind == log_failure_kind::truncated)
+        return list({});
+    after_pause(
+        [this, list_anew]
+        {
+            if (list_anew)
+                list({});
+            else
+                read();
+        });
+}
+
+void topic_follower::after_pause(const std::function<void()>& next)
+{
+    pause_ = std::clamp(2 * pause_, first_pause, longest_pause);
+    timer_.expires_after(pause_);
+    timer_.async_wait(
+        [weak = weak_from_this(), next](asio::error_code ec)
+        {
+            const auto self = weak.lock();
+            if (!ec && self && !self->stopped_)
+                next();
+        });
+}
+
+} // namespace fescueridge::gateway
--- /dev/null
+++ b/src/gateway/wire_format.cpp
@@ -0,0 +1,64 @@
+#include "fescueridge/gateway/wire_format.hpp"
+
+#include "fescueridge/gateway/keyed_log.hpp"
+
+namespace fescueridge::gateway
+{
+
+std::string_view to_string(rejection value) noexcept
+{
+    switch (value)
+    {
+    case rejection::bad_request:
+        return "bad_request";
+    case rejection::no_route:
+        return "no_route";
+    case rejection::no_config:
+        return "no_config";
+    case rejection::overload:
+        return "overload";
+    case rejection::no_server:
+        return "no_server";
+    case rejection::quarantined:
+        return "quarantined";
+    case rejection::server_failed:
+        return "server_failed";
+    case rejection::link_failed:
+        return "link_failed";
+    case rejection::timeout:
+        return "timeout";
+    }
+    return "bad_request";
+}
+
+bool promises_not_run(rejection value) noexcept
+{
+    switch (value)
+    {
+    case rejection::no_config:
+    case rejection::overload:
+    case rejection::no_server:
+    case rejection::quarantined:
+        return true;
+    default:
+        return false;
+    }
+}
+
+std::string_view to_string(log_failure_kind value) noexcept
+{
+    switch (value)
+    {
+    case log_failure_kind::unavailable:
+        return "unavailable";
+    case log_failure_kind::unknown:
+        return "unknown";
+    case log_failure_kind::truncated:
+        return "truncated";
+    case log_failure_kind::malformed:
+        return "malformed";
+    }
+    return "unavailable";
+}
+
+} // namespace fescueridge::gateway
--- a/src/include/fescueridge/base/types.hpp
+++ b/src/include/fescueridge/base/types.hpp
@@ -39,6 +39,18 @@
 /// Version of the sheet; 0 means that no sheet is known.
 using sheet_version = strong_type<std::uint64_t, struct sheet_version_tag>;
 
+/// Identifies one request of a client; each of its attempts has an id of its own.
+using request_id = strong_type<std::string, struct request_id_tag>;
+
+/// Identifies one start of a backend server.
+using instance_id = strong_type<std::string, struct instance_id_tag>;
+
+/// Name of a route in the routing configuration.
+using route_name = strong_type<std::string, struct route_name_tag>;
+
+/// Version of the routing configuration; 0 means that none is known.
+using config_version = strong_type<std::uint64_t, struct config_version_tag>;
+
 /// Position of a record in a stream of the log service.
 using log_offset = strong_type<std::uint64_t, struct log_offset_tag>;
 
--- /dev/null
+++ b/src/include/fescueridge/codec/header_field.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <string>
+
+namespace fescueridge
+{
+
+/// One HTTP header field.
+struct header_field
+{
+    std::string name;
+    std::string value;
+};
+
+} // namespace fescueridge
--- a/src/include/fescueridge/codec/messages.hpp
+++ b/src/include/fescueridge/codec/messages.hpp
@@ -9,19 +9,14 @@
 #include "fescueridge/base/clock.hpp"
 #include "fescueridge/base/outcome.hpp"
 #include "fescueridge/base/types.hpp"
+#include "fescueridge/codec/gateway_messages.hpp"
+#include "fescueridge/codec/header_field.hpp"
 #include "fescueridge/codec/quarantine_record.hpp"
 #include "fescueridge/codec/sheet_step.hpp"
 
 namespace fescueridge
 {
 
-/// One HTTP header field.
-struct header_field
-{
-    std::string name;
-    std::string value;
-};
-
 /// Number of priorities.
 constexpr std::uint32_t priority_count = lowest_priority + 1;
 
@@ -163,7 +158,10 @@
     std::variant<hello_message, call_message, reply_message, cancel_message, ping_message,
                  pong_message, sheet_pull_message, sheet_push_message,
                  demand_report_message, share_grant_message, strike_message,
-                 sheet_delta_message>;
+                 sheet_delta_message, forward_message, forward_reply_message,
+                 forward_cancel_message, node_report_message, config_pull_message,
+                 config_push_message, known_nodes_message, suspect_message,
+                 own_server_message>;
 
 /// A message with the Lamport stamp of its sender.
 struct link_frame
--- /dev/null
+++ b/src/include/fescueridge/gateway/crash_suspects.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <deque>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "fescueridge/base/clock.hpp"
+#include "fescueridge/base/types.hpp"
+#include "fescueridge/codec/gateway_messages.hpp"
+
+namespace fescueridge::gateway
+{
+
+/// Finds requests that crash the backend servers that run them. A request that was
+/// running at three crashes, with no completed run in between, is quarantined.
+class crash_suspects
+{
+public:
+    /// Crashes after which a request is quarantined.
+    static constexpr std::size_t crash_limit = 3;
+
+    /// Time after the last crash at which a request is forgotten.
+    static constexpr milliseconds memory{120'000};
+
+    /// Records that the connection of a run broke without an answer.
+    void on_cut(fingerprint request, time_point now);
+
+    /// Records that the server crashed and returns the requests that it was running.
+    std::vector<suspect_message> on_crash(std::uint64_t crash, time_point now);
+
+    /// Takes a suspect that another node reports.
+    void on_suspect(const suspect_message& suspect, time_point now);
+
+    /// Clears a request after a completed run.
+    void on_completed(fingerprint request);
+
+    bool quarantined(fingerprint request, time_point now) const;
+
+private:
+    struct record
+    {
+        std::set<std::uint64_t> crashes;
+        time_point last{};
+    };
+
+    std::deque<std::pair<time_point, fingerprint>> cuts_;
+    std::unordered_map<fingerprint, record> records_;
+};
+
+} // namespace fescueridge::gateway
--- /dev/null
+++ b/src/include/fescueridge/gateway/entry_port.hpp
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "fescueridge/base/metrics.hpp"
+#include "fescueridge/base/random.hpp"
+#include "fescueridge/gateway/admission_plan.hpp"
+#include "fescueridge/gateway/peers.hpp"
+#include "fescueridge/gateway/placement.hpp"
+#include "fescueridge/gateway/retry_share.hpp"
+#include "fescueridge/gateway/run_executor.hpp"
+#include "fescueridge/transport/http_server.hpp"
+
+namespace fescueridge::gateway
+{
+
+/// Counts of what the entry answered.
+struct entry_counters
+{
+    std::uint64_t received = 0;
+    std::uint64_t calls_of_server = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t abandoned = 0; ///< The client left first.
+    std::uint64_t retried = 0;
+    std::map<rejection, std::uint64_t> rejected;
+};
+
+/// Takes the requests of clients and of the backend server on this VM, decides whether
+/// they begin, chooses servers for them and answers them. Used from one io thread.
+class entry_port
+{
+public:
+    entry_port(asio::io_context& io, const node_settings& settings,
+               const wire_format& wire, decision_log& decisions, peers& others,
+               run_executor& executor);
+    ~entry_port();
+    entry_port(const entry_port&) = delete;
+    entry_port& operator=(const entry_port&) = delete;
+
+    /// Takes a request.
+    void handle(http_request request, std::shared_ptr<http_exchange> exchange);
+
+    /// Uses a configuration for requests from now on.
+    void use(std::shared_ptr<const route_table> table) { table_ = std::move(table); }
+
+    /// Sets the service that requests of this VM come from.
+    void set_caller(const service_name& caller) { caller_ = caller; }
+
+    /// Computes the shares of routes anew; call it every 100 ms.
+    void update_shares();
+
+    /// Returns the arrivals of clients for each route, for reports.
+    std::vector<route_load> arrivals() const;
+
+    std::size_t open_requests() const noexcept { return requests_.size(); }
+    const entry_counters& counters() const noexcept { return counters_; }
+    const duration_metric& latency() const noexcept { return latency_; }
+    const request_thinner& shares() const noexcept { return thinner_; }
+
+private:
+    struct request_state;
+    using request_ptr = std::shared_ptr<request_state>;
+
+    void begin(const request_ptr& request, http_request&& raw);
+    bool may_begin(const request_ptr& request);
+    void place(const request_ptr& request);
+    std::vector<placement_candidate> candidates(const request_state& request) const;
+    placement_candidate own_candidate() const;
+    placement_candidate candidate_of(const peer& other) const;
+    void send(const request_ptr& request, const node_id& node);
+    void on_reply(const request_ptr& request, forward_reply_message reply);
+    void on_not_run(const request_ptr& request, const forward_reply_message& reply);
+    bool try_again(const request_ptr& request, const char* cause);
+    void deliver(const request_ptr& request, forward_reply_message reply);
+    void reject(const request_ptr& request, rejection why);
+    void on_timeout(const request_ptr& request);
+    void on_client_left(const request_ptr& request);
+    void withdraw(const request_ptr& request);
+    void end(const request_ptr& request);
+    milliseconds retry_after(const request_state& request);
+    std::map<service_name, double> downstream_calls(const route_name& route) const;
+    void log_request(log_event event, const request_state& request, log_weight weight,
+                     std::vector<event_field> more);
+    void count_arrival(const route_name& route);
+
+    asio::io_context& io_;
+    const node_settings& settings_;
+    const wire_format& wire_;
+    decision_log& decisions_;
+    peers& peers_;
+    run_executor& executor_;
+    service_name caller_;
+    std::shared_ptr<const route_table> table_;
+    std::unordered_map<route_name, weighted_picker> pickers_;
+    std::unordered_map<std::uint64_t, request_ptr> requests_;
+    std::uint64_t next_number_ = 0;
+    random_engine random_;
+    retry_share retries_;
+    request_thinner thinner_;
+    std::map<service_name, capacity_trim> trims_;
+    std::vector<call_edge> edges_;
+    struct arrival_meter
+    {
+        double count = 0; ///< Since the last update.
+        double per_s = 0;
+    };
+    std::map<route_name, arrival_meter> arrivals_;
+    time_point last_update_{};
+    double own_failure_share_ = 0;
+    entry_counters counters_;
+    duration_metric latency_;
+};
+
+} // namespace fescueridge::gateway
--- /dev/null
+++ b/src/include/fescueridge/gateway/retry_share.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <map>
+#include <unordered_map>
+
+#include "fescueridge/base/clock.hpp"
+#include "fescueridge/base/types.hpp"
+#include "fescueridge/gateway/call_graph.hpp"
+
+namespace fescueridge::gateway
+{
+
+/// This node's share of the budget for repeated requests that all nodes share. Each node
+/// may spend half of the budget's ratio of its own requests, and its even part of half of
+/// the slack in each window, so that the sum holds also when nodes cannot talk.
+class retry_share
+{
+public:
+    retry_share(double ratio, double slack, milliseconds window)
+        : ratio_(ratio), slack_(slack), window_(window)
+    {
+    }
+
+    /// Sets the number of nodes that share the slack.
+    void set_nodes(std::size_t nodes) { nodes_ = nodes; }
+
+    /// Records a first request to a service.
+    void on_request(const service_name& service, time_point now);
+
+    /// Takes a repeat from the budget: one at the service, and `downstream` at the
+    /// services that the repeated run calls. False when one of them has none left.
+    bool try_spend(const service_name& service,
+                   const std::map<service_name, double>& downstream, time_point now);
+
+private:
+    struct bucket
+    {
+        double tokens = 0;
+        time_point filled{};
+    };
+
+    bucket& fill(const service_name& service, time_point now);
+    double part_of_slack() const;
+
+    double ratio_;
+    double slack_;
+    milliseconds window_;
+    std::size_t nodes_ = 0;
+    std::unordered_map<service_name, bucket> buckets_;
+};
+
+} // namespace fescueridge::gateway
--- /dev/null
+++ b/src/include/fescueridge/gateway/run_executor.hpp
@@ -0,0 +1,157 @@
+#pragma once
+
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+#include "fescueridge/gateway/call_graph.hpp"
+#include "fescueridge/gateway/crash_suspects.hpp"
+#include "fescueridge/gateway/decision_log.hpp"
+#include "fescueridge/gateway/run_queue.hpp"
+#include "fescueridge/gateway/server_tracker.hpp"
+#include "fescueridge/gateway/settings.hpp"
+#include "fescueridge/gateway/wire_format.hpp"
+#include "fescueridge/transport/http_client_pool.hpp"
+
+namespace fescueridge::gateway
+{
+
+/// Functions that the executor calls on the io thread.
+struct executor_callbacks
+{
+    /// The server, its state or its limit has changed: tell the peers.
+    std::function<void()> on_change;
+    std::function<void(const suspect_message&)> on_suspect;
+};
+
+/// Counts of what became of the requests for the server beside this node.
+struct executor_counters
+{
+    std::uint64_t answered = 0;
+    std::uint64_t turned_away = 0;
+    std::uint64_t rejected_by_server = 0;
+    std::uint64_t broken_off = 0;
+    std::uint64_t health_checks = 0;
+};
+
+/// Runs requests at the backend server beside this node: keeps its state, limits and
+/// queues requests, sends them and judges the answers. Used from one io thread.
+class run_executor
+{
+public:
+    using callback = std::function<void(forward_reply_message)>;
+
+    run_executor(asio::io_context& io, const node_settings& settings,
+                 const wire_format& wire, decision_log& decisions,
+                 executor_callbacks callbacks);
+    ~run_executor();
+    run_executor(const run_executor&) = delete;
+    run_executor& operator=(const run_executor&) = delete;
+
+    /// Runs a request; `done` is called exactly once, possibly from inside, unless the
+    /// request is cancelled.
+    run_number submit(forward_message call, callback done);
+
+    /// Ends a request whose client has left. A request that must not be broken off
+    /// (at_most_once, already sent) runs on; its answer is dropped.
+    void cancel(run_number number);
+
+    /// Takes an announcement of the server.
+    server_change on_announcement(const server_announcement& announcement);
+    void on_memory_of_peer(const server_record& server);
+    void on_suspect(const suspect_message& suspect)
+    {
+        suspects_.on_suspect(suspect, clock::now());
+    }
+
+    /// Records a call that the server beside this node makes.
+    void on_call_of_server(const route_name& callee) { graph_.on_call(callee); }
+
+    /// Takes what operators set for the service.
+    void configure(const service_settings& settings);
+
+    /// Turns away new requests from now on; those that run are finished.
+    void stop_accepting();
+
+    /// Notices missing heartbeats, overdue answers and old queue entries; call it every
+    /// 50 ms.
+    void poll();
+
+    bool accepts() const { return !stopping_ && tracker_.accepts(); }
+    std::size_t open_runs() const noexcept { return runs_.size(); }
+    server_load load() const;
+    const std::optional<server_record>& server() const { return tracker_.server(); }
+
+    /// Fills in what this node reports about its server.
+    void fill_report(node_report_message& report) const;
+
+    /// Fills in the calls that were learned and the slot times of the routes in the
+    /// report.
+    void fill_learned(node_report_message& report) const;
+
+    /// Returns the routes whose slot times are known here.
+    std::vector<route_name> measured_routes() const;
+
+    void fade_graph() { graph_.fade(); }
+
+    const executor_counters& counters() const noexcept { return counters_; }
+    std::uint64_t connections_opened() const;
+
+    void close();
+
+private:
+    struct run
+    {
+        forward_message call;
+        callback done;
+        time_point deadline;
+        time_point sent{};
+        fingerprint print;
+        http_call_handle handle;
+        bool cancelled = false;
+    };
+
+    void note_change(server_change change, const std::string& cause);
+    void start(run_number number);
+    void on_result(run_number number, http_result result);
+    void on_answer(run_number number, http_response answer);
+    void on_failure(run_number number, const http_failure& failure);
+    void finish(run_number number, forward_reply_message reply, bool sample);
+    void fail(run_number number, forward_result result, forward_failure failure,
+              bool sample);
+    void carry_out(const queue_moves& moves);
+    void refuse_waiting(forward_failure why);
+    void renew_pool();
+    void probe();
+    std::uint32_t limit_for(slot_count slots) const;
+    connection_count connection_limit() const;
+    void use_slots(slot_count slots);
+    void on_restart(const server_record& before);
+    void log_run(log_event event, const run& of, const char* outcome);
+
+    asio::io_context& io_;
+    const node_settings& settings_;
+    const wire_format& wire_;
+    decision_log& decisions_;
+    executor_callbacks callbacks_;
+    server_tracker tracker_;
+    run_queue queue_;
+    crash_suspects suspects_;
+    call_graph_learner graph_;
+    std::unordered_map<run_number, run> runs_;
+    std::uint64_t next_number_ = 0;
+    std::unique_ptr<http_client_pool> pool_;
+    std::unique_ptr<http_client_pool> probe_pool_;
+    std::uint64_t opened_before_ = 0; ///< Connections of pools that were replaced.
+    std::string health_path_;
+    std::uint32_t max_connections_ = 0;
+    time_point last_answer_{};
+    time_point next_probe_{};
+    bool probing_ = false;
+    bool stopping_ = false;
+    executor_counters counters_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace fescueridge::gateway
--- a/src/include/fescueridge/transport/http.hpp
+++ b/src/include/fescueridge/transport/http.hpp
@@ -21,6 +21,9 @@
     std::string target;
     std::vector<header_field> headers;
     std::string body;
+
+    /// Value of the Host field to send; empty for the address of the connection.
+    std::string authority{};
 };
 
 /// A whole HTTP answer. The writer adds Content-Length; Content-Length,
@@ -41,4 +44,11 @@
 /// Host, Upgrade, TE, Trailer, Expect, Proxy-Connection).
 bool is_hop_header(std::string_view name) noexcept;
 
+/// Compares two field names without regard to case.
+bool same_field_name(std::string_view a, std::string_view b) noexcept;
+
+/// Removes the fields that concern one connection only: those of is_hop_header() and
+/// those that a Connection field lists.
+void remove_hop_headers(std::vector<header_field>& headers);
+
 } // namespace fescueridge
--- a/src/include/fescueridge/transport/http_client_pool.hpp
+++ b/src/include/fescueridge/transport/http_client_pool.hpp
@@ -73,6 +73,26 @@
     std::weak_ptr<detail::client_call> call_;
 };
 
+/// How a pool treats its connections and the answers on them.
+struct http_client_options
+{
+    /// Takes an answer without a stated length as whole when the connection ends in an
+    /// orderly way after it. Without this such an answer is malformed.
+    bool answers_until_end = false;
+
+    /// Idle time after which a connection is closed when the peer's Keep-Alive field says
+    /// nothing; 0 for none.
+    milliseconds idle_timeout{0};
+
+    /// How much sooner than the peer's own idle timeout a connection is closed, so that
+    /// no request crosses the close of the peer.
+    milliseconds idle_margin{1'000};
+};
+
+/// Tells whether an answer belongs to the request that waits on its connection. One that
+/// does not is dropped, and the next one is read.
+using answer_filter = std::function<bool(const http_response&)>;
+
 /// Connections to one endpoint. Never holds more than `limit` connections, those being
 /// opened included. A connection that saw a timeout, a cut, a partial or malformed answer
 /// or a cancel is closed and never reused. Safe for use from several threads.
@@ -82,8 +102,8 @@
     /// Called exactly once for each request, on an io thread, never from inside send().
     using callback = std::function<void(http_result)>;
 
-    http_client_pool(asio::io_context& io, const endpoint& target,
-                     connection_count limit);
+    http_client_pool(asio::io_context& io, const endpoint& target, connection_count limit,
+                     http_client_options options = {});
 
     /// Closes the pool.
     ~http_client_pool();
@@ -95,7 +115,7 @@
     /// soon as one is free (first come, first served). The timeout covers the waiting
     /// time as well.
     http_call_handle send(const http_request& request, milliseconds timeout,
-                          callback done);
+                          callback done, answer_filter belongs = {});
 
     /// Opens connections in the background until n (at most the limit) are open.
     void warm(std::size_t n);
@@ -106,6 +126,9 @@
     /// Returns the number of connections, those being opened included.
     std::size_t connections() const;
 
+    /// Returns the number of connections opened since the start, failed ones included.
+    std::uint64_t opened() const;
+
     /// Returns the number of requests that wait for a connection.
     std::size_t waiting() const;
 
--- a/src/include/fescueridge/transport/http_server.hpp
+++ b/src/include/fescueridge/transport/http_server.hpp
@@ -62,6 +62,9 @@
     /// inside on_closed, if that has already happened. A peer that only shuts down its
     /// sending side counts as closed.
     virtual void on_closed(std::function<void()> callback) = 0;
+
+    /// Returns the address of the peer.
+    virtual endpoint peer() const = 0;
 };
 
 /// Limits and callbacks of an http_server.
@@ -74,12 +77,19 @@
     /// max_body bytes for ever.
     milliseconds transfer_timeout{30'000};
 
+    /// Time after which a connection without a request is closed; 0 for none.
+    milliseconds idle_timeout{0};
+
+    /// Most requests of one connection that are with the handler at the same time. Their
+    /// answers are sent in the order of the requests.
+    std::size_t max_pipelined = 1;
+
     /// Called on an io thread for each fault; may be empty.
     std::function<void(const http_fault&)> on_fault;
 };
 
-/// HTTP/1.1 server with keep-alive and one request at a time per connection. Requests
-/// sent ahead of an answer (pipelining) wait in the connection.
+/// HTTP/1.1 server with keep-alive. Requests sent ahead of an answer (pipelining) go to
+/// the handler up to max_pipelined at a time; others wait in the connection.
 class http_server
 {
 public:
@@ -101,6 +111,13 @@
     /// Returns the address listened on, with the real port.
     endpoint bound() const;
 
+    /// Changes the time limits, for requests and idle times that start from now on.
+    void set_timeouts(milliseconds transfer, milliseconds idle);
+
+    /// Lets each answer from now on carry Connection: close; new connections are still
+    /// accepted.
+    void close_after_answers();
+
     /// Closes the listening socket. Connections stay; each answer from now on carries
     /// Connection: close.
     void stop_accepting();
--- a/src/transport/client_connection.cpp
+++ b/src/transport/client_connection.cpp
@@ -1,7 +1,11 @@
 #include "client_connection.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
+#include <charconv>
+#include <optional>
+#include <string_view>
 #include <utility>
 
 #include <sys/socket.h>
@@ -17,6 +21,25 @@
 
 constexpr std::size_t read_size = std::size_t{64} * 1024;
 
+/// Shortest time for which an idle connection is kept, whatever its peer states.
+constexpr milliseconds least_idle_time{200};
+
+/// Returns the idle timeout in a Keep-Alive field ("timeout=5, max=100"), if it has one.
+std::optional<std::chrono::seconds> stated_timeout(const std::string& value)
+{
+    constexpr std::string_view key = "timeout=";
+    constexpr int longest_s = 86'400;
+    const auto place = value.find(key);
+    if (place == std::string::npos)
+        return std::nullopt;
+    int seconds = 0;
+    const auto* first = value.data() + place + key.size();
+    const auto parsed = std::from_chars(first, value.data() + value.size(), seconds);
+    if (parsed.ec != std::errc{} || seconds < 0 || seconds > longest_s)
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
+
 http_failure_kind failure_of(parse_status status)
 {
     return status == parse_status::malformed ? http_failure_kind::malformed
@@ -36,9 +59,14 @@
 }
 
 client_connection::client_connection(asio::io_context& io,
-                                     std::shared_ptr<connection_owner> owner)
-    : owner_(std::move(owner)), socket_(asio::make_strand(io)),
-      open_timer_(socket_.get_executor()), parser_(HTTP_RESPONSE, max_body_bytes)
+                                     std::shared_ptr<connection_owner> owner,
+                                     const http_client_options& options)
+    : owner_(std::move(owner)), socket_(asio::make_strand(io)), options_(options),
+      idle_timeout_(options.idle_timeout), open_timer_(socket_.get_executor()),
+      idle_timer_(socket_.get_executor()),
+      parser_(HTTP_RESPONSE, max_body_bytes,
+              options.answers_until_end ? answer_length::stated_or_until_end
+                                        : answer_length::stated)
 {
 }
 
@@ -77,7 +105,7 @@
     socket_.set_option(asio::ip::tcp::no_delay(true), ec);
     socket_.non_blocking(true, ec);
     read();
-    owner_->became_idle(shared_from_this());
+    become_idle();
 }
 
 void client_connection::start(const call_ptr& call)
@@ -92,13 +120,14 @@
     {
         const http_failure_kind kind = call->abort_kind_;
         if (!closed_)
-            owner_->became_idle(shared_from_this());
+            become_idle();
         return call->finish(http_failure{kind, false, std::string(to_string(kind))});
     }
     if (!closed_ && readable_or_closed())
         shut();
     if (closed_)
         return owner_->give_back(call);
+    idle_timer_.cancel();
     call_ = call;
     writing_ = call;
     parser_.reset(call->head_);
@@ -143,11 +172,21 @@
     const auto size = ec ? 0 : socket_.read_some(asio::buffer(buffer), ec);
     if (ec == asio::error::would_block || ec == asio::error::try_again)
         return read();
+    if (ec == asio::error::eof)
+        return on_end();
     if (ec)
         return fail(http_failure_kind::cut, true, ec.message());
     on_answer_bytes(buffer.data(), size);
 }
 
+void client_connection::on_end()
+{
+    const bool whole = parser_.finish() == parse_status::complete;
+    if (whole && parser_.status_code() / 100 != 1)
+        return on_answer(false);
+    fail(http_failure_kind::cut, true, "closed before the answer was whole");
+}
+
 void client_connection::on_answer_bytes(const char* data, std::size_t size)
 {
     std::size_t used = 0;
@@ -158,19 +197,33 @@
         return fail(failure_of(status), true, parser_.problem());
     if (parser_.status_code() == 101)
         return fail(http_failure_kind::malformed, true, "unexpected protocol switch");
-    if (parser_.status_code() / 100 != 1)
-        return on_answer(used == size && parser_.keep_alive());
     // An interim answer (100, 102, 103) precedes the real one.
+    if (parser_.status_code() / 100 == 1)
+        return skip_answer(data + used, size - used);
+    on_answer(used == size && parser_.keep_alive(), data + used, size - used);
+}
+
+// Reads on after an answer that is not the one waited for.
+void client_connection::skip_answer(const char* rest, std::size_t size)
+{
     parser_.reset(call_->head_);
-    if (used == size)
+    if (size == 0)
         return read();
-    on_answer_bytes(data + used, size - used);
+    on_answer_bytes(rest, size);
 }
 
-void client_connection::on_answer(bool reusable)
+void client_connection::on_answer(bool reusable, const char* rest, std::size_t size)
 {
-    const auto call = std::exchange(call_, nullptr);
     auto response = parser_.take_response();
+    if (call_->belongs_ && !call_->belongs_(response))
+    {
+        if (!parser_.keep_alive())
+            return fail(http_failure_kind::cut, true,
+                        "answer belongs to another request");
+        return skip_answer(rest, size);
+    }
+    const auto call = std::exchange(call_, nullptr);
+    note_idle_timeout(response);
     if (reusable)
         reuse();
     else
@@ -184,7 +237,7 @@
 {
     read();
     if (!writing_)
-        return owner_->became_idle(shared_from_this());
+        return become_idle();
     idle_after_write_ = true;
     open_timer_.expires_after(open_timeout);
     open_timer_.async_wait(
@@ -206,6 +259,31 @@
     if (!std::exchange(idle_after_write_, false))
         return;
     open_timer_.cancel();
+    become_idle();
+}
+
+void client_connection::note_idle_timeout(const http_response& response)
+{
+    const auto* field = find_header(response.headers, "Keep-Alive");
+    const auto stated = field ? stated_timeout(*field) : std::nullopt;
+    if (stated)
+        idle_timeout_ =
+            std::max(least_idle_time, milliseconds(*stated) - options_.idle_margin);
+}
+
+void client_connection::become_idle()
+{
+    if (idle_timeout_ > milliseconds{0})
+    {
+        idle_timer_.expires_after(idle_timeout_);
+        idle_timer_.async_wait(
+            [weak = weak_from_this()](asio::error_code ec)
+            {
+                const auto self = weak.lock();
+                if (!ec && self && !self->call_)
+                    self->shut();
+            });
+    }
     owner_->became_idle(shared_from_this());
 }
 
@@ -242,6 +320,7 @@
     if (std::exchange(closed_, true))
         return;
     open_timer_.cancel();
+    idle_timer_.cancel();
     asio::error_code ec;
     socket_.close(ec);
     owner_->closed(shared_from_this());
--- a/src/transport/client_connection.hpp
+++ b/src/transport/client_connection.hpp
@@ -21,8 +21,9 @@
 {
 public:
     client_call(asio::io_context& io, std::string bytes, bool head,
-                http_client_pool::callback done)
-        : bytes_(std::move(bytes)), head_(head), timer_(io), done_(std::move(done))
+                http_client_pool::callback done, answer_filter belongs)
+        : bytes_(std::move(bytes)), head_(head), belongs_(std::move(belongs)), timer_(io),
+          done_(std::move(done))
     {
     }
 
@@ -34,6 +35,7 @@
 
     std::string bytes_;
     bool head_;
+    answer_filter belongs_; ///< May be empty: every answer belongs to the request.
     asio::steady_timer timer_;
     std::weak_ptr<http_client_pool_impl> pool_;
 
@@ -79,7 +81,8 @@
 class client_connection : public std::enable_shared_from_this<client_connection>
 {
 public:
-    client_connection(asio::io_context& io, std::shared_ptr<connection_owner> owner);
+    client_connection(asio::io_context& io, std::shared_ptr<connection_owner> owner,
+                      const http_client_options& options);
 
     void open(const asio::ip::tcp::endpoint& target);
     void start(const call_ptr& call);
@@ -94,14 +97,21 @@
     void on_readable(asio::error_code ec);
     void on_written(asio::error_code ec, std::size_t size);
     void on_answer_bytes(const char* data, std::size_t size);
-    void on_answer(bool reusable);
+    void on_answer(bool reusable, const char* rest = nullptr, std::size_t size = 0);
+    void on_end();
+    void skip_answer(const char* rest, std::size_t size);
+    void note_idle_timeout(const http_response& response);
     void reuse();
+    void become_idle();
     void fail(http_failure_kind kind, bool sent, std::string detail);
     void shut();
 
     std::shared_ptr<connection_owner> owner_;
     strand_socket socket_;
+    http_client_options options_;
+    milliseconds idle_timeout_;
     asio::steady_timer open_timer_;
+    asio::steady_timer idle_timer_;
     message_parser parser_;
     call_ptr call_;
     call_ptr writing_;
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -10,10 +10,8 @@
 
 namespace fescueridge
 {
-namespace
-{
 
-bool same_name(std::string_view a, std::string_view b) noexcept
+bool same_field_name(std::string_view a, std::string_view b) noexcept
 {
     const auto lower = [](char c)
     {
@@ -23,6 +21,9 @@
                       [&](char x, char y) { return lower(x) == lower(y); });
 }
 
+namespace
+{
+
 constexpr std::array<std::string_view, 10> hop_headers = {"Connection",
                                                           "Keep-Alive",
                                                           "Transfer-Encoding",
@@ -40,7 +41,7 @@
                                std::string_view name) noexcept
 {
     for (const auto& field : headers)
-        if (same_name(field.name, name))
+        if (same_field_name(field.name, name))
             return &field.value;
     return nullptr;
 }
@@ -48,7 +49,44 @@
 bool is_hop_header(std::string_view name) noexcept
 {
     return std::any_of(hop_headers.begin(), hop_headers.end(),
-                       [&](std::string_view hop) { return same_name(hop, name); });
+                       [&](std::string_view hop) { return same_field_name(hop, name); });
+}
+
+namespace
+{
+
+/// Returns the field names in the value of a Connection field.
+std::vector<std::string> listed_names(std::string_view value)
+{
+    std::vector<std::string> names(1);
+    for (const char c : value)
+    {
+        if (c == ',')
+            names.emplace_back();
+        else if (c != ' ' && c != '\t')
+            names.back().push_back(c);
+    }
+    return names;
+}
+
+} // namespace
+
+void remove_hop_headers(std::vector<header_field>& headers)
+{
+    std::vector<std::string> listed;
+    for (const auto& field : headers)
+        if (same_field_name(field.name, "Connection"))
+            for (auto& name : listed_names(field.value))
+                listed.push_back(std::move(name));
+    const auto concerns_connection = [&](const header_field& field)
+    {
+        return is_hop_header(field.name) ||
+               std::any_of(listed.begin(), listed.end(),
+                           [&](const std::string& name)
+                           { return same_field_name(name, field.name); });
+    };
+    headers.erase(std::remove_if(headers.begin(), headers.end(), concerns_connection),
+                  headers.end());
 }
 
 std::string_view to_string(http_fault_kind value) noexcept
--- a/src/transport/http_client_pool.cpp
+++ b/src/transport/http_client_pool.cpp
@@ -35,17 +35,19 @@
 {
 public:
     http_client_pool_impl(asio::io_context& io, const endpoint& target,
-                          connection_count limit)
-        : io_(io), target_(to_asio(target)), host_(to_string(target)), limit_(limit.get())
+                          connection_count limit, const http_client_options& options)
+        : io_(io), target_(to_asio(target)), host_(to_string(target)), options_(options),
+          limit_(limit.get())
     {
     }
 
     http_call_handle send(const http_request& request, milliseconds timeout,
-                          http_client_pool::callback done);
+                          http_client_pool::callback done, answer_filter belongs);
     void abort(const call_ptr& call, http_failure_kind kind);
     void warm(std::size_t n);
     void set_limit(std::size_t limit);
     std::size_t connections() const;
+    std::uint64_t opened() const;
     std::size_t waiting() const;
     void close();
 
@@ -66,8 +68,10 @@
     asio::io_context& io_;
     asio::ip::tcp::endpoint target_;
     std::string host_;
+    http_client_options options_;
     mutable std::mutex mutex_;
     std::size_t limit_;
+    std::uint64_t opened_ = 0;
     bool closed_ = false;
     std::set<std::shared_ptr<client_connection>> all_;
     std::set<std::shared_ptr<client_connection>> opening_;
@@ -77,10 +81,13 @@
 
 http_call_handle http_client_pool_impl::send(const http_request& request,
                                              milliseconds timeout,
-                                             http_client_pool::callback done)
+                                             http_client_pool::callback done,
+                                             answer_filter belongs)
 {
-    auto call = std::make_shared<client_call>(io_, write_request(request, host_),
-                                              request.method == "HEAD", std::move(done));
+    const auto& host = request.authority.empty() ? host_ : request.authority;
+    auto call = std::make_shared<client_call>(io_, write_request(request, host),
+                                              request.method == "HEAD", std::move(done),
+                                              std::move(belongs));
     call->pool_ = weak_from_this();
     if (call->bytes_.empty())
     {
@@ -140,7 +147,9 @@
 
 std::shared_ptr<client_connection> http_client_pool_impl::add_connection()
 {
-    auto connection = std::make_shared<client_connection>(io_, shared_from_this());
+    auto connection =
+        std::make_shared<client_connection>(io_, shared_from_this(), options_);
+    ++opened_;
     all_.insert(connection);
     opening_.insert(connection);
     return connection;
@@ -292,6 +301,12 @@
     return all_.size();
 }
 
+std::uint64_t http_client_pool_impl::opened() const
+{
+    const std::lock_guard lock(mutex_);
+    return opened_;
+}
+
 std::size_t http_client_pool_impl::waiting() const
 {
     const std::lock_guard lock(mutex_);
@@ -327,8 +342,8 @@
 }
 
 http_client_pool::http_client_pool(asio::io_context& io, const endpoint& target,
-                                   connection_count limit)
-    : impl_(std::make_shared<detail::http_client_pool_impl>(io, target, limit))
+                                   connection_count limit, http_client_options options)
+    : impl_(std::make_shared<detail::http_client_pool_impl>(io, target, limit, options))
 {
 }
 
@@ -338,9 +353,9 @@
 }
 
 http_call_handle http_client_pool::send(const http_request& request, milliseconds timeout,
-                                        callback done)
+                                        callback done, answer_filter belongs)
 {
-    return impl_->send(request, timeout, std::move(done));
+    return impl_->send(request, timeout, std::move(done), std::move(belongs));
 }
 
 void http_client_pool::warm(std::size_t n)
@@ -358,6 +373,11 @@
     return impl_->connections();
 }
 
+std::uint64_t http_client_pool::opened() const
+{
+    return impl_->opened();
+}
+
 std::size_t http_client_pool::waiting() const
 {
     return impl_->waiting();
--- a/src/transport/http_message.cpp
+++ b/src/transport/http_message.cpp
@@ -61,8 +61,9 @@
 
 } // namespace
 
-message_parser::message_parser(http_parser_type type, std::size_t max_body)
-    : type_(type), max_body_(max_body)
+message_parser::message_parser(http_parser_type type, std::size_t max_body,
+                               answer_length length)
+    : type_(type), max_body_(max_body), length_(length)
 {
     static std::once_flag limit_set;
     std::call_once(limit_set, [] { http_parser_set_max_header_size(max_header_bytes); });
@@ -102,6 +103,13 @@
     return status_;
 }
 
+parse_status message_parser::finish()
+{
+    if (status_ == parse_status::need_more && started_)
+        http_parser_execute(&parser_, &settings(), nullptr, 0);
+    return status_;
+}
+
 parse_status message_parser::fail(parse_status status, std::string problem)
 {
     status_ = status;
@@ -185,7 +193,8 @@
 
 bool message_parser::lacks_length() const
 {
-    if (type_ != HTTP_RESPONSE || head_answer_)
+    if (type_ != HTTP_RESPONSE || head_answer_ ||
+        length_ == answer_length::stated_or_until_end)
         return false;
     if (parser_.status_code / 100 == 1 || parser_.status_code == 204 ||
         parser_.status_code == 304)
--- a/src/transport/http_message.hpp
+++ b/src/transport/http_message.hpp
@@ -21,13 +21,19 @@
     body_too_large
 };
 
-/// Reads one HTTP message at a time with http-parser. An answer must state its length
-/// (Content-Length or chunked), because the end of the connection does not tell a whole
-/// answer from a cut one.
+/// Whether an answer may leave its length open and end with its connection.
+enum class answer_length : std::uint8_t
+{
+    stated,             ///< Content-Length or chunked; anything else is malformed.
+    stated_or_until_end ///< An orderly end of the connection ends the answer too.
+};
+
+/// Reads one HTTP message at a time with http-parser.
 class message_parser
 {
 public:
-    message_parser(http_parser_type type, std::size_t max_body);
+    message_parser(http_parser_type type, std::size_t max_body,
+                   answer_length length = answer_length::stated);
     message_parser(const message_parser&) = delete;
     message_parser& operator=(const message_parser&) = delete;
 
@@ -38,6 +44,10 @@
     /// Reads bytes up to the end of the message; `used` is the number of bytes read.
     parse_status feed(const char* data, std::size_t size, std::size_t& used);
 
+    /// Takes an orderly end of the connection: completes an answer without a stated
+    /// length and is a cut for everything else.
+    parse_status finish();
+
     /// Tells whether any byte of the current message was read.
     bool started() const noexcept { return started_; }
 
@@ -74,6 +84,7 @@
     http_parser parser_{};
     http_parser_type type_;
     std::size_t max_body_;
+    answer_length length_;
     parse_status status_ = parse_status::need_more;
     bool head_answer_ = false;
     bool started_ = false;
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -67,6 +67,7 @@
 {
     const std::lock_guard lock(mutex_);
     accepting_ = false;
+    keep_alive_ = false;
     asio::error_code ec;
     acceptor_.close(ec);
     retry_.cancel();
@@ -131,6 +132,16 @@
     impl_->stop_accepting();
 }
 
+void http_server::set_timeouts(milliseconds transfer, milliseconds idle)
+{
+    impl_->set_timeouts(transfer, idle);
+}
+
+void http_server::close_after_answers()
+{
+    impl_->keep_alive_ = false;
+}
+
 std::size_t http_server::open_exchanges() const noexcept
 {
     return impl_->exchanges_;
--- a/src/transport/server_connection.cpp
+++ b/src/transport/server_connection.cpp
@@ -50,9 +50,12 @@
     asio::error_code ec;
     socket_.set_option(asio::ip::tcp::no_delay(true), ec);
     peer_ = from_asio(socket_.remote_endpoint(ec));
+    wait_for_request();
     read();
 }
 
+// Reading goes on while requests wait for their answers, so that the close of the peer is
+// seen.
 void server_connection::read()
 {
     if (reading_ || closed_ || ahead_.size() > max_header_bytes)
@@ -70,30 +73,52 @@
         return;
     if (ec)
         return lost();
-    if (lingering_)
+    if (phase_ == read_phase::lingering)
         return read();
-    if (!waiting_)
-        return process(buffer_.data(), size);
-    ahead_.append(buffer_.data(), size);
+    if (may_hand_over() && ahead_.empty())
+        process(buffer_.data(), size);
+    else
+        ahead_.append(buffer_.data(), size);
     read();
 }
 
+bool server_connection::may_hand_over() const
+{
+    return !last_request_ && pending_.size() < server_->max_pipelined();
+}
+
 void server_connection::process(const char* data, std::size_t size)
 {
-    std::size_t used = 0;
-    const auto status = parser_.feed(data, size, used);
-    if (status == parse_status::complete)
+    while (size > 0 && !closed_)
     {
-        ahead_.assign(data + used, size - used);
-        return hand_over();
+        if (!may_hand_over())
+        {
+            ahead_.append(data, size);
+            return;
+        }
+        std::size_t used = 0;
+        const auto status = parser_.feed(data, size, used);
+        data += used;
+        size -= used;
+        if (status == parse_status::complete)
+            hand_over();
+        else if (status != parse_status::need_more)
+            return refuse(fault_of(status), parser_.problem());
     }
-    if (status != parse_status::need_more)
-        return refuse(fault_of(status), parser_.problem());
-    if (parser_.started() && !timing_)
-        start_timer(server_->transfer_timeout());
-    if (parser_.take_expects_continue())
+    if (closed_ || !parser_.started())
+        return;
+    if (phase_ != read_phase::request)
+        start_read_timer(read_phase::request, server_->transfer_timeout());
+    if (parser_.take_expects_continue() && pending_.empty())
         send_continue();
-    read();
+}
+
+void server_connection::process_ahead()
+{
+    if (ahead_.empty() || !may_hand_over())
+        return;
+    const auto next = std::exchange(ahead_, {});
+    process(next.data(), next.size());
 }
 
 void server_connection::send_continue()
@@ -105,125 +130,179 @@
 
 void server_connection::hand_over()
 {
-    stop_timer();
-    waiting_ = true;
-    counted_ = true;
+    stop_read_timer();
     ++server_->exchanges_;
-    keep_alive_ = parser_.keep_alive();
+    auto pending = std::make_shared<pending_answer>();
+    pending->keep_alive = parser_.keep_alive();
+    last_request_ = !pending->keep_alive;
     auto request = parser_.take_request();
-    head_request_ = request.method == "HEAD";
-    auto exchange = std::make_shared<exchange_impl>(shared_from_this());
-    exchange_ = exchange;
-    read();
+    pending->head = request.method == "HEAD";
+    parser_.reset();
+    auto exchange = std::make_shared<exchange_impl>(shared_from_this(), pending);
+    pending->exchange = exchange;
+    pending_.push_back(std::move(pending));
     if (!server_->closed_)
         server_->request(std::move(request), std::move(exchange));
 }
 
 void server_connection::refuse(http_fault_kind kind, const std::string& problem)
 {
+    stop_read_timer();
     server_->report({kind, peer_, problem});
-    waiting_ = true;
-    write(plain_response(status_of(kind), problem), false);
+    last_request_ = true;
+    auto pending = std::make_shared<pending_answer>();
+    pending->keep_alive = false;
+    pending->counted = false;
+    pending->response = plain_response(status_of(kind), problem);
+    pending_.push_back(std::move(pending));
+    write_next();
+}
+
+void server_connection::answer(const pending_ptr& to, http_response response)
+{
+    if (closed_ || to->response)
+        return;
+    to->exchange.reset();
+    to->response = std::move(response);
+    write_next();
 }
 
-void server_connection::answer(const http_response& response)
+void server_connection::write_next()
 {
-    if (closed_ || writing_)
+    if (writing_ || closed_ || pending_.empty() || !pending_.front()->response)
         return;
-    exchange_.reset();
-    write(response, keep_alive_ && server_->accepting_);
+    write(*pending_.front());
 }
 
-void server_connection::write(const http_response& response, bool keep_alive)
+void server_connection::write(const pending_answer& answer)
 {
-    keep_alive_ = keep_alive;
     writing_ = true;
-    out_ = write_response(response, keep_alive, !head_request_);
+    const bool keep_alive = answer.keep_alive && server_->keep_alive_;
+    last_request_ = last_request_ || !keep_alive;
+    out_ = write_response(*answer.response, keep_alive, !answer.head);
     if (out_.size() > untimed_answer)
-        start_timer(server_->transfer_timeout());
-    asio::async_write(socket_, asio::buffer(out_),
-                      [self = shared_from_this()](asio::error_code ec, std::size_t)
-                      { self->on_written(ec); });
+    {
+        write_timer_.expires_after(server_->transfer_timeout());
+        write_timer_.async_wait(
+            [self = shared_from_this()](asio::error_code ec)
+            {
+                if (!ec && self->writing_)
+                    self->lost();
+            });
+    }
+    asio::async_write(
+        socket_, asio::buffer(out_),
+        [self = shared_from_this(), keep_alive](asio::error_code ec, std::size_t)
+        {
+            self->pending_.front()->keep_alive = keep_alive;
+            self->on_written(ec);
+        });
 }
 
 void server_connection::on_written(asio::error_code ec)
 {
     writing_ = false;
-    stop_timer();
+    write_timer_.cancel();
     out_.clear();
     out_.shrink_to_fit();
-    end_exchange();
+    const auto written = pending_.front();
+    pending_.pop_front();
+    end_exchange(*written);
     if (closed_)
-        return;
+        return drop_pending();
     if (ec)
         return lost();
-    if (!keep_alive_)
+    if (!written->keep_alive)
         return linger();
-    waiting_ = false;
-    parser_.reset();
-    if (ahead_.empty())
-        return read();
-    const auto next = std::exchange(ahead_, {});
-    process(next.data(), next.size());
+    write_next();
+    process_ahead();
+    if (pending_.empty() && !parser_.started())
+        wait_for_request();
+    read();
 }
 
-void server_connection::end_exchange()
+void server_connection::end_exchange(const pending_answer& answer)
 {
-    if (std::exchange(counted_, false))
+    if (answer.counted)
         --server_->exchanges_;
 }
 
+// The answers that are left can no longer be sent: their requests end as closed by the
+// peer. The one that is being written is ended by on_written().
+void server_connection::drop_pending()
+{
+    const auto first = pending_.begin() + (writing_ ? 1 : 0);
+    const std::deque<pending_ptr> dropped(first, pending_.end());
+    pending_.erase(first, pending_.end());
+    for (const auto& pending : dropped)
+    {
+        end_exchange(*pending);
+        if (const auto exchange = pending->exchange.lock())
+            exchange->peer_closed();
+    }
+}
+
 void server_connection::lost()
 {
-    const bool mid_request = !waiting_ && parser_.started();
-    const auto exchange = exchange_.lock();
+    const bool mid_request = phase_ == read_phase::request;
     shut();
     if (mid_request && !server_->closed_)
         server_->report(
             {http_fault_kind::cut, peer_, "closed in the middle of a request"});
-    if (exchange)
-        exchange->peer_closed();
+    drop_pending();
+}
+
+void server_connection::wait_for_request()
+{
+    if (server_->idle_timeout() > milliseconds{0})
+        start_read_timer(read_phase::idle, server_->idle_timeout());
 }
 
-void server_connection::start_timer(milliseconds time)
+void server_connection::start_read_timer(read_phase phase, milliseconds time)
 {
-    timing_ = true;
-    timer_.expires_after(time);
-    timer_.async_wait(
+    phase_ = phase;
+    read_timer_.expires_after(time);
+    read_timer_.async_wait(
         [self = shared_from_this()](asio::error_code ec)
         {
             if (!ec)
-                self->on_timer();
+                self->on_read_timer();
         });
 }
 
-void server_connection::stop_timer()
+void server_connection::stop_read_timer()
 {
-    if (std::exchange(timing_, false))
-        timer_.cancel();
+    if (std::exchange(phase_, read_phase::none) != read_phase::none)
+        read_timer_.cancel();
 }
 
-void server_connection::on_timer()
+void server_connection::on_read_timer()
 {
-    // The timer may have run out just before it was stopped.
-    if (!std::exchange(timing_, false) || closed_)
+    // The timer may have run out just before it was stopped or started anew.
+    if (closed_ || read_timer_.expiry() > std::chrono::steady_clock::now())
+        return;
+    switch (phase_)
+    {
+    case read_phase::none:
         return;
-    if (lingering_)
+    case read_phase::idle:
+    case read_phase::lingering:
         return shut();
-    if (writing_)
-        return lost();
-    refuse(http_fault_kind::timed_out, "the request did not come whole in time");
+    case read_phase::request:
+        return refuse(http_fault_kind::timed_out,
+                      "the request did not come whole in time");
+    }
 }
 
 void server_connection::linger()
 {
+    drop_pending();
     asio::error_code ec;
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
     if (ec)
         return shut();
-    lingering_ = true;
     ahead_.clear();
-    start_timer(linger_time);
+    start_read_timer(read_phase::lingering, linger_time);
     read();
 }
 
@@ -233,9 +312,8 @@
         return;
     asio::error_code ec;
     socket_.close(ec);
-    stop_timer();
-    if (!writing_)
-        end_exchange();
+    stop_read_timer();
+    write_timer_.cancel();
     server_->remove(shared_from_this());
 }
 
--- a/src/transport/server_connection.hpp
+++ b/src/transport/server_connection.hpp
@@ -2,9 +2,11 @@
 
 #include <array>
 #include <atomic>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -25,7 +27,8 @@
     http_server_impl(asio::io_context& io, const endpoint& listen,
                      http_server::handler on_request, http_server_options options)
         : io_(io), acceptor_(io), retry_(io), on_request_(std::move(on_request)),
-          options_(std::move(options))
+          options_(std::move(options)), transfer_timeout_(options_.transfer_timeout),
+          idle_timeout_(options_.idle_timeout)
     {
         open(listen);
     }
@@ -42,15 +45,24 @@
         on_request_(std::move(request), std::move(exchange));
     }
 
+    void set_timeouts(milliseconds transfer, milliseconds idle)
+    {
+        transfer_timeout_ = transfer;
+        idle_timeout_ = idle;
+    }
+
     endpoint bound_;
     std::atomic<std::size_t> exchanges_{0};
     std::atomic<std::size_t> connections_{0};
     std::atomic<std::size_t> peak_{0};
     std::atomic<bool> accepting_{true};
+    std::atomic<bool> keep_alive_{true};
     std::atomic<bool> closed_{false};
 
     std::size_t max_body() const { return options_.max_body; }
-    milliseconds transfer_timeout() const { return options_.transfer_timeout; }
+    std::size_t max_pipelined() const { return options_.max_pipelined; }
+    milliseconds transfer_timeout() const { return transfer_timeout_; }
+    milliseconds idle_timeout() const { return idle_timeout_; }
 
 private:
     void open(const endpoint& listen);
@@ -63,67 +75,94 @@
     std::set<std::shared_ptr<server_connection>> open_;
     http_server::handler on_request_;
     http_server_options options_;
+    std::atomic<milliseconds> transfer_timeout_;
+    std::atomic<milliseconds> idle_timeout_;
 };
 
 class exchange_impl;
 
+/// A request that was handed over and whose answer has not been written yet.
+struct pending_answer
+{
+    std::weak_ptr<exchange_impl> exchange;
+    std::optional<http_response> response;
+    bool head = false;
+    bool keep_alive = true;
+    bool counted = true; ///< Counts as an open exchange; an error answer does not.
+};
+
+using pending_ptr = std::shared_ptr<pending_answer>;
+
 /// One accepted connection. All members are used from its strand only.
 class server_connection : public std::enable_shared_from_this<server_connection>
 {
 public:
     server_connection(std::shared_ptr<http_server_impl> server, strand_socket socket)
         : server_(std::move(server)), socket_(std::move(socket)),
-          timer_(socket_.get_executor()), parser_(HTTP_REQUEST, server_->max_body())
+          read_timer_(socket_.get_executor()), write_timer_(socket_.get_executor()),
+          parser_(HTTP_REQUEST, server_->max_body())
     {
     }
 
     void start();
-    void answer(const http_response& response);
+    void answer(const pending_ptr& to, http_response response);
     void abort();
     strand_type strand() { return socket_.get_executor(); }
+    const endpoint& peer() const { return peer_; }
 
 private:
+    /// What the read timer bounds.
+    enum class read_phase : std::uint8_t
+    {
+        none,
+        idle,
+        request,
+        lingering
+    };
+
     void read();
     void on_read(asio::error_code ec, std::size_t size);
     void process(const char* data, std::size_t size);
+    void process_ahead();
+    bool may_hand_over() const;
     void send_continue();
     void hand_over();
     void refuse(http_fault_kind kind, const std::string& problem);
-    void write(const http_response& response, bool keep_alive);
+    void write_next();
+    void write(const pending_answer& answer);
     void on_written(asio::error_code ec);
     void lost();
-    void end_exchange();
-    void start_timer(milliseconds time);
-    void stop_timer();
-    void on_timer();
+    void end_exchange(const pending_answer& answer);
+    void drop_pending();
+    void start_read_timer(read_phase phase, milliseconds time);
+    void stop_read_timer();
+    void on_read_timer();
+    void wait_for_request();
     void linger();
     void shut();
 
     std::shared_ptr<http_server_impl> server_;
     strand_socket socket_;
-    asio::steady_timer timer_; // bounds the transfer of a message, or the lingering
+    asio::steady_timer read_timer_;
+    asio::steady_timer write_timer_;
     message_parser parser_;
     std::array<char, server_read_size> buffer_{};
     std::string ahead_;
     std::string out_;
-    std::weak_ptr<exchange_impl> exchange_;
+    std::deque<pending_ptr> pending_;
     endpoint peer_;
+    read_phase phase_ = read_phase::none;
     bool reading_ = false;
-    bool waiting_ = false; ///< A request is with the handler or its answer is written.
     bool writing_ = false;
-    bool counted_ = false;
-    bool head_request_ = false;
-    bool keep_alive_ = true;
-    bool lingering_ = false;
-    bool timing_ = false;
+    bool last_request_ = false; ///< No request after this one is taken.
     bool closed_ = false;
 };
 
 class exchange_impl : public http_exchange
 {
 public:
-    explicit exchange_impl(std::shared_ptr<server_connection> connection)
-        : connection_(std::move(connection))
+    exchange_impl(std::shared_ptr<server_connection> connection, pending_ptr pending)
+        : connection_(std::move(connection)), pending_(std::move(pending))
     {
     }
 
@@ -158,6 +197,8 @@
             callback_ = std::move(callback);
     }
 
+    endpoint peer() const override { return connection_->peer(); }
+
     void peer_closed()
     {
         std::function<void()> callback;
@@ -176,12 +217,13 @@
 private:
     void give(http_response response)
     {
-        asio::dispatch(connection_->strand(),
-                       [connection = connection_, response = std::move(response)]
-                       { connection->answer(response); });
+        asio::dispatch(connection_->strand(), [connection = connection_, to = pending_,
+                                               response = std::move(response)]() mutable
+                       { connection->answer(to, std::move(response)); });
     }
 
     std::shared_ptr<server_connection> connection_;
+    pending_ptr pending_;
     std::mutex mutex_;
     std::function<void()> callback_;
     bool answered_ = false;
