Learn the call graph by the end of calls' time; share capacity along it

Telling them apart by origin showed three more faults: slot times were lost in three of four reports, a cycle in what was learned cut costs off, and calls of short and long runs were mixed up (2 and 1 calls a run learned as 4.0 and 0.23; 2.7 and 0.4 when weighted by running time). Ruled out: the peer's address (the same for both), running time as weight. Change: origin_tracker tells routes that servers call by where requests begin. A call ends with its parent at the latest; one whose time was cut short names its parent, and the rest follow these. Costs leave cycles out. The capacity correction is slower than the way of a request. What was learned is kept in a topic for a restart of all nodes. Servers keep 6% of their slots free (some slow down beyond 95%).

--- a/src/gateway/admission_plan.cpp
+++ b/src/gateway/admission_plan.cpp
@@ -91,18 +91,17 @@
     return true;
 }
 
-double capacity_trim::update(double wait_ms, double use)
+double capacity_trim::update(double wait_ms)
 {
-    constexpr double long_wait_ms = 15;
-    constexpr double low_use = 0.9;
-    constexpr double down = 0.95;
-    constexpr double up = 1.02;
-    constexpr double least = 0.4;
-    constexpr double most = 1.1;
-    if (wait_ms > long_wait_ms)
-        factor_ = std::max(least, factor_ * down);
-    else if (use < low_use)
-        factor_ = std::min(most, factor_ * up);
+    constexpr double target_wait_ms = 10;
+    constexpr double down_per_ms = 0.0003;
+    constexpr double most_down = 0.01;
+    constexpr double up = 1.003;
+    constexpr double least = 0.5;
+    constexpr double most = 1;
+    const double over_ms = wait_ms - target_wait_ms;
+    factor_ *= over_ms > 0 ? 1 - std::min(most_down, down_per_ms * over_ms) : up;
+    factor_ = std::clamp(factor_, least, most);
     return factor_;
 }
 
--- a/src/gateway/call_graph.cpp
+++ b/src/gateway/call_graph.cpp
@@ -1,19 +1,29 @@
 #include "fescueridge/gateway/call_graph.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace fescueridge::gateway
 {
 namespace
 {
 
-/// Rate that is assumed for a call that was never seen, so that every running route stays
+/// Calls of a run that are assumed where none was seen, so that every running route stays
 /// a candidate.
 constexpr double least_rate = 0.02;
 
+/// A call whose time is shorter than usual by more than this was cut short by its parent.
+constexpr milliseconds cut_margin{4};
+
+/// The time of such a call and of its parent end within this of each other.
+constexpr milliseconds match_tolerance{2};
+
 /// Runs after which the rates of a route are told to others.
 constexpr double least_runs = 10;
 
+/// Weight of what another process has learned, in runs.
+constexpr double remembered_runs = 30;
+
 /// What is left of the counts after a second: a memory of about 20 s.
 constexpr double fade_factor = 0.95;
 
@@ -31,20 +41,21 @@
             callees_[edge.from].push_back(&edge);
     }
 
-    const service_costs& costs(const route_name& route, unsigned depth)
+    const service_costs& costs(const route_name& route)
     {
         const auto known = done_.find(route);
         if (known != done_.end())
             return known->second;
         service_costs sum;
         const auto input = routes_.find(route);
-        if (input == routes_.end() || depth >= max_call_depth)
+        if (input == routes_.end() || !open_.insert(route).second)
             return nothing_;
         for (const auto& [service, share] : input->second.targets)
             sum[service] += share * input->second.slot_ms;
         for (const call_edge* edge : callees_[route])
-            for (const auto& [service, ms] : costs(edge->to, depth + 1))
+            for (const auto& [service, ms] : costs(edge->to))
                 sum[service] += edge->calls_per_run * ms;
+        open_.erase(route);
         return done_.emplace(route, std::move(sum)).first->second;
     }
 
@@ -52,57 +63,70 @@
     const std::map<route_name, route_cost_input>& routes_;
     std::map<route_name, std::vector<const call_edge*>> callees_;
     std::map<route_name, service_costs> done_;
+    std::set<route_name> open_; ///< On the way from the first route to the present one.
     const service_costs nothing_;
 };
 
 } // namespace
 
-void call_graph_learner::on_run_started(const route_name& route)
+void call_graph_learner::remember(const std::vector<call_edge>& edges)
 {
-    ++running_[route];
-    ++runs_[route];
+    for (const call_edge& edge : edges)
+    {
+        runs_[edge.from] = remembered_runs;
+        calls_[edge.from][edge.to] = remembered_runs * edge.calls_per_run;
+        certain_calls_[edge.from][edge.to] = remembered_runs * edge.calls_per_run;
+    }
 }
 
-void call_graph_learner::on_run_ended(const route_name& route)
+void call_graph_learner::on_run_started(const route_name& route)
 {
-    const auto found = running_.find(route);
-    if (found == running_.end())
-        return;
-    if (--found->second == 0)
-        running_.erase(found);
+    ++runs_[route];
 }
 
-double call_graph_learner::rate(const route_name& from, const route_name& to) const
+double call_graph_learner::known_rate(const route_name& from, const route_name& to) const
 {
     const auto runs = runs_.find(from);
-    const auto calls = calls_.find(from);
-    if (runs == runs_.end() || calls == calls_.end())
+    const auto calls = certain_calls_.find(from);
+    if (runs == runs_.end() || calls == certain_calls_.end())
         return 0;
     const auto count = calls->second.find(to);
     return count == calls->second.end() ? 0 : count->second / runs->second;
 }
 
-void call_graph_learner::on_call(const route_name& callee)
+void call_graph_learner::on_call(const route_name& callee, milliseconds time_left,
+                                 const std::vector<possible_parent>& running)
 {
+    auto& longest = longest_time_[callee];
+    longest = std::max(longest, time_left);
+    const bool cut_short = time_left + cut_margin < longest;
     std::vector<std::pair<const route_name*, double>> parts;
     double total = 0;
-    for (const auto& [route, count] : running_)
+    for (const auto& run : running)
     {
-        const double part = count * std::max(least_rate, rate(route, callee));
-        parts.emplace_back(&route, part);
+        const bool ends_with_call = run.ends_later <= match_tolerance;
+        if (run.ends_later < -match_tolerance || (cut_short && !ends_with_call))
+            continue;
+        const double part = std::max(least_rate, known_rate(run.route, callee));
+        parts.emplace_back(&run.route, part);
         total += part;
     }
     for (const auto& [route, part] : parts)
+    {
         calls_[*route][callee] += part / total;
+        if (cut_short)
+            certain_calls_[*route][callee] += part / total;
+    }
 }
 
 void call_graph_learner::fade()
 {
     for (auto& [route, count] : runs_)
         count *= fade_factor;
-    for (auto& [route, callees] : calls_)
-        for (auto& [callee, count] : callees)
-            count *= fade_factor;
+    for (auto* counts : {&calls_, &certain_calls_})
+        for (auto& [route, callees] : *counts)
+            for (auto& [callee, count] : callees)
+                count *= fade_factor;
 }
 
 std::vector<call_edge> call_graph_learner::edges() const
@@ -127,7 +151,7 @@
     cost_walk walk(routes, calls);
     std::map<route_name, service_costs> result;
     for (const auto& [route, input] : routes)
-        result.emplace(route, walk.costs(route, 0));
+        result.emplace(route, walk.costs(route));
     return result;
 }
 
--- /dev/null
+++ b/src/gateway/call_graph_test.cpp
@@ -0,0 +1,112 @@
+#include <algorithm>
+#include <cmath>
+#include <criterion/criterion.h>
+#include <vector>
+
+#include "fescueridge/base/random.hpp"
+#include "fescueridge/gateway/call_graph.hpp"
+
+using namespace fescueridge;
+using namespace fescueridge::gateway;
+
+namespace
+{
+
+const route_name push("push");
+const route_name sync("sync");
+const route_name read("read");
+const route_name tariff("tariff");
+
+double calls_in(const std::vector<call_edge>& edges, const route_name& from,
+                const route_name& to)
+{
+    for (const auto& edge : edges)
+        if (edge.from == from && edge.to == to)
+            return edge.calls_per_run;
+    return 0;
+}
+
+/// Plays runs of three routes on one server: pushes with little time that call tariffs
+/// twice, syncs with much time that call once, and reads that call nothing.
+std::vector<call_edge> learn_mixed_load(double seconds)
+{
+    struct kind
+    {
+        route_name route;
+        double starts_per_ms;
+        int length_ms;
+        int time_ms;
+        std::vector<int> calls_at;
+    };
+    const std::vector<kind> kinds{{push, 0.027, 330, 800, {20, 150}},
+                                  {sync, 0.062, 120, 2500, {15}},
+                                  {read, 0.05, 63, 2600, {}}};
+    constexpr int longest_call_ms = 2000;
+    struct run
+    {
+        const kind* of;
+        int age = 0;
+    };
+    call_graph_learner learner;
+    random_engine random(7);
+    std::uniform_real_distribution<double> chance(0, 1);
+    std::vector<run> runs;
+    for (int ms = 0; ms < seconds * 1000; ++ms)
+    {
+        for (const auto& of : kinds)
+        {
+            if (chance(random) >= of.starts_per_ms)
+                continue;
+            runs.push_back({&of, 0});
+            learner.on_run_started(of.route);
+        }
+        for (auto& caller : runs)
+        {
+            const auto& calls = caller.of->calls_at;
+            if (std::count(calls.begin(), calls.end(), ++caller.age) == 0)
+                continue;
+            const int left = std::min(longest_call_ms, caller.of->time_ms - caller.age);
+            std::vector<possible_parent> running;
+            for (const auto& other : runs)
+                running.push_back({other.of->route,
+                                   milliseconds{other.of->time_ms - other.age - left}});
+            learner.on_call(tariff, milliseconds{left}, running);
+        }
+        runs.erase(std::remove_if(runs.begin(), runs.end(),
+                                  [](const run& one)
+                                  { return one.age >= one.of->length_ms; }),
+                   runs.end());
+        if (ms % 1000 == 999)
+            learner.fade();
+    }
+    return learner.edges();
+}
+
+} // namespace
+
+// Guards against the calls of short runs being counted for the long ones that run beside
+// them, and the other way round: 2 and 1 calls a run were learned as 4.0 and 0.23, and
+// 2.7 and 0.4 by the time that runs take.
+Test(call_graph, finds_the_parents_of_calls_by_the_end_of_their_time)
+{
+    const auto edges = learn_mixed_load(5);
+    cr_expect_lt(std::abs(calls_in(edges, push, tariff) - 2), 0.2, "%f",
+                 calls_in(edges, push, tariff));
+    cr_expect_lt(std::abs(calls_in(edges, sync, tariff) - 1), 0.5, "%f",
+                 calls_in(edges, sync, tariff));
+}
+
+// Guards against costs of deep services being lost when what was learned has a cycle.
+Test(call_graph, sums_costs_along_calls_despite_a_cycle)
+{
+    const service_name campaigns("campaigns");
+    const service_name prices("prices");
+    const std::map<route_name, route_cost_input> routes{{push, {{{campaigns, 1}}, 100}},
+                                                        {tariff, {{{prices, 1}}, 10}}};
+    const std::vector<call_edge> calls{
+        {push, push, 0.05}, {push, tariff, 2}, {tariff, push, 0.01}};
+    const auto costs = service_costs_of(routes, calls);
+    cr_expect_float_eq(costs.at(push).at(campaigns), 100, 1e-9);
+    cr_expect_float_eq(costs.at(push).at(prices), 20, 1e-9);
+    cr_expect_float_eq(costs.at(tariff).at(prices), 10, 1e-9);
+}
--- a/src/gateway/entry_port.cpp
+++ b/src/gateway/entry_port.cpp
@@ -18,9 +18,18 @@
 /// Weight of one outcome in the share of failures of the own server.
 constexpr double outcome_weight = 0.05;
 
-/// Bounds of Retry-After, as parts of the route's target latency.
-constexpr double earliest_return = 0.15;
-constexpr double latest_return = 0.6;
+/// Share of a route that is admitted from which a soon return is likely to succeed.
+constexpr double slight_overload_share = 0.7;
+
+/// Bounds of Retry-After under slight overload, as parts of the route's target latency:
+/// an answer is then still in time.
+constexpr double soon_return_from = 0.15;
+constexpr double soon_return_to = 0.4;
+
+/// Bounds of Retry-After under heavy overload, as parts of the longest wait that clients
+/// follow: the surge has the most time to pass.
+constexpr double late_return_from = 0.7;
+constexpr double late_return_to = 1.0;
 
 /// Clients follow a Retry-After up to this part of the time that they have left.
 constexpr double usable_wait_share = 1.0 / 3;
@@ -108,8 +117,7 @@
     message.target_latency = way.target_latency;
     message.rank = way.rank;
     message.repeat = way.repeat;
-    message.from_server =
-        request->exchange->peer().address == settings_.listen_entry.address;
+    message.from_server = origins_.called_routes().count(way.name) != 0;
     message.method = std::move(raw.method);
     message.target = std::move(raw.target);
     message.authority = std::move(head.authority);
@@ -140,13 +148,14 @@
 bool entry_port::may_begin(const request_ptr& request)
 {
     const auto& message = request->message;
+    count_arrival(message.route);
     if (message.from_server)
     {
         ++counters_.calls_of_server;
-        executor_.on_call_of_server(message.route);
+        executor_.on_call_of_server(message.route,
+                                    request->client_deadline - request->arrival);
         return true;
     }
-    count_arrival(message.route);
     return thinner_.admit(message.route);
 }
 
@@ -366,11 +375,15 @@
 {
     if (!request.way)
         return milliseconds{200};
-    std::uniform_real_distribution<double> part(earliest_return, latest_return);
     const auto target = static_cast<double>(request.message.target_latency.count());
     const auto left =
         static_cast<double>((request.client_deadline - clock::now()).count());
-    const double wait = std::min(part(random_) * target, usable_wait_share * left);
+    const double longest = usable_wait_share * left;
+    const bool soon = thinner_.share(request.message.route) >= slight_overload_share;
+    std::uniform_real_distribution<double> part(soon ? soon_return_from
+                                                     : late_return_from,
+                                                soon ? soon_return_to : late_return_to);
+    const double wait = std::min(part(random_) * (soon ? target : longest), longest);
     return milliseconds(std::max<std::int64_t>(1, static_cast<std::int64_t>(wait)));
 }
 
--- a/src/gateway/entry_shares.cpp
+++ b/src/gateway/entry_shares.cpp
@@ -1,5 +1,8 @@
 #include "fescueridge/gateway/entry_port.hpp"
 
+#include <algorithm>
+#include <fmt/format.h>
+
 #include "fleet_view.hpp"
 
 namespace fescueridge::gateway
@@ -10,8 +13,63 @@
 /// Weight of a new measurement of arrivals, made every 100 ms: about the last 300 ms.
 constexpr double arrival_weight = 0.3;
 
+/// Lines about shares are written at most this often, and only when they change.
+constexpr milliseconds shares_line_interval{1'000};
+
 } // namespace
 
+void entry_port::log_shares(const std::vector<route_demand>& demands,
+                            const service_capacity& capacity,
+                            const std::map<route_name, double>& shares)
+{
+    std::string routes;
+    std::map<service_name, double> need;
+    for (const auto& demand : demands)
+    {
+        routes += fmt::format("{} {:.1f}/s {:.2f}; ", demand.route.get(),
+                              demand.arrivals_per_s, shares.at(demand.route));
+        for (const auto& [service, ms] : demand.costs)
+            need[service] += demand.arrivals_per_s * ms;
+    }
+    const bool all_admitted =
+        std::all_of(shares.begin(), shares.end(),
+                    [](const auto& share) { return share.second >= 1; });
+    if (all_admitted && std::exchange(all_admitted_, true))
+        return;
+    all_admitted_ = all_admitted;
+    std::string services;
+    for (const auto& [service, ms] : capacity)
+        services +=
+            fmt::format("{} need {:.0f} of {:.0f} ms/s, trim {:.2f}; ", service.get(),
+                        need[service], ms, trims_[service].factor());
+    std::string calls;
+    for (const auto& edge : edges_)
+        calls += fmt::format("{} calls {} {:.2f}; ", edge.from.get(), edge.to.get(),
+                             edge.calls_per_run);
+    std::string called;
+    for (const auto& route : origins_.called_routes())
+        called += route.get() + "; ";
+    node_report_message own;
+    executor_.fill_report(own);
+    decisions_.record(log_event::shares_changed,
+                      {{"running", std::int64_t{own.load.running}},
+                       {"waiting", std::int64_t{own.load.waiting}},
+                       {"limit", std::int64_t{own.limit}},
+                       {"wait_ms", own.queue_wait_ms},
+                       {"slot_ms", own.service_ms},
+                       {"routes", routes},
+                       {"services", services},
+                       {"called_routes", called},
+                       {"calls", calls}});
+}
+
+void entry_port::remember_calls(const std::vector<call_edge>& edges)
+{
+    remembered_ = edges;
+    for (const auto& edge : edges)
+        origins_.remember(edge.to);
+}
+
 void entry_port::update_shares()
 {
     const auto now = clock::now();
@@ -25,19 +83,33 @@
         meter.count = 0;
     }
     retries_.set_nodes(peers_.all().size() + 1);
-    fleet_view fleet(*table_, now);
+    fleet_view fleet(*table_, now, remembered_);
+    origins_.begin_update(seconds);
     node_report_message own;
     executor_.fill_report(own);
     own.routes = arrivals();
-    for (const auto& route : executor_.measured_routes())
-        own.routes.push_back({route, 0, 0});
-    executor_.fill_learned(own);
+    executor_.add_slot_times(own);
+    own.calls = executor_.learned_calls();
     fleet.add(own, now);
+    origins_.add(own);
     for (const auto& [node, other] : peers_.all())
-        if (other.connection)
-            fleet.add(other.report, other.reported);
+    {
+        if (!other.connection)
+            continue;
+        fleet.add(other.report, other.reported);
+        origins_.add(other.report);
+    }
+    origins_.end_update();
     edges_ = fleet.edges();
-    thinner_.set_shares(admitted_shares(fleet.demands(), fleet.capacity(trims_)));
+    const auto demands = fleet.demands(origins_.called_routes());
+    const auto capacity = fleet.capacity(trims_);
+    auto shares = admitted_shares(demands, capacity);
+    if (now >= next_shares_line_)
+    {
+        next_shares_line_ = now + shares_line_interval;
+        log_shares(demands, capacity, shares);
+    }
+    thinner_.set_shares(std::move(shares));
 }
 
 } // namespace fescueridge::gateway
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -1,7 +1,6 @@
 #include "fleet_view.hpp"
 
 #include <algorithm>
-#include <set>
 
 namespace fescueridge::gateway
 {
@@ -20,8 +19,9 @@
     for (const auto& route : report.routes)
     {
         arrivals_[route.route] += route.arrivals_per_s;
+        // A faster server runs more of the requests.
         if (route.slot_ms > 0)
-            slot_ms_[route.route].add(route.slot_ms, 1);
+            slot_ms_[route.route].add(route.slot_ms, report.limit / route.slot_ms);
     }
     std::set<route_name> observed;
     for (const auto& edge : report.calls)
@@ -35,7 +35,6 @@
         return;
     auto& service = services_[report.server->service];
     service.limit += report.limit;
-    service.running += report.load.running;
     service.wait_ms.add(report.queue_wait_ms, report.limit);
 }
 
@@ -44,10 +43,13 @@
     std::vector<call_edge> result;
     for (const auto& [ends, sum] : calls_)
         result.push_back({ends.first, ends.second, sum / observers_.at(ends.first)});
+    for (const auto& edge : remembered_)
+        if (observers_.count(edge.from) == 0)
+            result.push_back(edge);
     return result;
 }
 
-std::vector<route_demand> fleet_view::demands() const
+std::vector<route_demand> fleet_view::demands(const std::set<route_name>& called) const
 {
     std::map<route_name, route_cost_input> inputs;
     for (const auto& route : table_.config().routes)
@@ -67,7 +69,8 @@
     for (const auto& route : table_.config().routes)
     {
         const auto arrivals = arrivals_.find(route.name);
-        if (arrivals != arrivals_.end() && arrivals->second > 0)
+        const bool from_clients = called.count(route.name) == 0;
+        if (from_clients && arrivals != arrivals_.end() && arrivals->second > 0)
             result.push_back(
                 {route.name, route.rank, arrivals->second, costs.at(route.name)});
     }
@@ -80,8 +83,7 @@
     service_capacity result;
     for (const auto& [service, state] : services_)
     {
-        const double use = state.limit > 0 ? state.running / state.limit : 1;
-        const double factor = trims[service].update(state.wait_ms.value(), use);
+        const double factor = trims[service].update(state.wait_ms.value());
         result[service] = state.limit * ms_per_s * factor;
     }
     return result;
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <vector>
 
 #include "fescueridge/gateway/admission_plan.hpp"
@@ -14,7 +15,12 @@
 class fleet_view
 {
 public:
-    fleet_view(const route_table& table, time_point now) : table_(table), now_(now) {}
+    /// `remembered` holds calls that count where no node reports any.
+    fleet_view(const route_table& table, time_point now,
+               const std::vector<call_edge>& remembered = {})
+        : table_(table), now_(now), remembered_(remembered)
+    {
+    }
 
     /// Adds the report of a node. Old reports are left out.
     void add(const node_report_message& report, time_point reported);
@@ -22,7 +28,8 @@
     /// Returns how often runs of routes call other routes: the mean over the nodes.
     std::vector<call_edge> edges() const;
 
-    std::vector<route_demand> demands() const;
+    /// Returns the demand of clients for each route that is not `called` by servers.
+    std::vector<route_demand> demands(const std::set<route_name>& called) const;
 
     /// Returns the capacity of each service, corrected by what its queues show.
     service_capacity capacity(std::map<service_name, capacity_trim>& trims) const;
@@ -42,12 +49,12 @@
     struct service_state
     {
         double limit = 0;
-        double running = 0;
         mean wait_ms;
     };
 
     const route_table& table_;
     time_point now_;
+    std::vector<call_edge> remembered_;
     std::map<route_name, double> arrivals_;
     std::map<route_name, mean> slot_ms_;
     std::map<route_name, double> observers_; ///< Nodes that know the calls of a route.
--- /dev/null
+++ b/src/gateway/fleet_view_test.cpp
@@ -0,0 +1,64 @@
+#include <criterion/criterion.h>
+
+#include "fleet_view.hpp"
+
+using namespace fescueridge;
+using namespace fescueridge::gateway;
+
+namespace
+{
+
+const time_point now{milliseconds{100'000}};
+
+node_report_message report_of(const std::string& service, std::vector<route_load> routes)
+{
+    node_report_message report;
+    report.server = server_record{};
+    report.server->service = service_name(service);
+    report.server->state = server_state::ready;
+    report.accepting = true;
+    report.limit = 10;
+    report.routes = std::move(routes);
+    return report;
+}
+
+route_table table_with(const std::vector<std::string>& routes)
+{
+    routing_config config;
+    for (const auto& name : routes)
+    {
+        route added;
+        added.name = route_name(name);
+        added.targets = {{service_name("prices"), 1}};
+        config.routes.push_back(added);
+    }
+    return route_table(config);
+}
+
+} // namespace
+
+// Guards against calls of servers being counted as demand of clients.
+Test(fleet_view, counts_demand_of_clients_only)
+{
+    const auto table = table_with({"browse", "rates"});
+    fleet_view fleet(table, now);
+    fleet.add(
+        report_of("menu", {{route_name("browse"), 20, 0}, {route_name("rates"), 80, 0}}),
+        now);
+    fleet.add(report_of("prices", {{route_name("browse"), 25, 0}}), now);
+    const auto demands = fleet.demands({route_name("rates")});
+    cr_assert_eq(demands.size(), 1U);
+    cr_expect_eq(demands[0].arrivals_per_s, 45);
+}
+
+// Guards against demand of a node that was lost being counted for good.
+Test(fleet_view, leaves_out_old_reports)
+{
+    const auto table = table_with({"browse"});
+    fleet_view fleet(table, now);
+    fleet.add(report_of("menu", {{route_name("browse"), 20, 0}}),
+              now - milliseconds{5'000});
+    cr_expect(fleet.demands({}).empty());
+    std::map<service_name, capacity_trim> trims;
+    cr_expect(fleet.capacity(trims).empty());
+}
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -31,6 +31,11 @@
 /// Time before the kill at which the process ends, whatever still runs.
 constexpr milliseconds stop_margin{500};
 
+/// How often one node writes down what was learned of calls, so that it survives a
+/// restart of all nodes.
+constexpr milliseconds learned_interval{5'000};
+constexpr const char* learned_key = "calls";
+
 /// Requests of one client connection that run at the same time.
 constexpr std::size_t max_pipelined = 16;
 
@@ -58,6 +63,8 @@
     void take_config(const std::string& content, const char* source);
     void take_node(const keyed_record& record);
     void publish_self();
+    void read_learned();
+    void write_learned();
     void on_listed();
 
     void handle_readiness(const http_request& request, http_exchange& exchange);
@@ -156,6 +163,7 @@
               executor_.poll();
               check_stop();
           });
+    every(learned_interval, [this] { write_learned(); });
     every(shares_interval, [this] { entry_.update_shares(); });
     every(report_interval, [this] { send_reports(); });
     decisions_.record(log_event::node_started,
@@ -254,6 +262,7 @@
         io_, log_, decisions_, settings_.nodes_topic, std::move(nodes));
     publish_self();
     nodes_follower_->start();
+    read_learned();
 }
 
 // Versions only grow within a process: an older one from a slow source changes nothing.
@@ -340,6 +349,58 @@
                 });
 }
 
+void gateway_node::impl::read_learned()
+{
+    log_.newest(settings_.learned_topic, {}, append_timeout,
+                [this](const log_result<newest_page>& result)
+                {
+                    const auto* page = std::get_if<newest_page>(&result);
+                    // Without it the calls are learned anew, in a few seconds.
+                    if (!page || page->records.empty())
+                        return;
+                    try
+                    {
+                        const auto frame = decode_frame(page->records.front().value);
+                        if (const auto* report =
+                                std::get_if<node_report_message>(&frame.message))
+                        {
+                            entry_.remember_calls(report->calls);
+                            executor_.remember_calls(report->calls);
+                        }
+                    }
+                    catch (const codec_error& problem)
+                    {
+                        decisions_.record(log_event::records_unreadable,
+                                          {{"topic", settings_.learned_topic.get()},
+                                           {"detail", problem.what()}});
+                    }
+                });
+}
+
+// The linked node with the lowest name writes for all.
+void gateway_node::impl::write_learned()
+{
+    if (entry_.calls().empty() || stopping_since_)
+        return;
+    for (const auto& [node, other] : peers_.all())
+        if (other.connection && node < settings_.node)
+            return;
+    node_report_message learned;
+    learned.calls = entry_.calls();
+    log_.append(settings_.learned_topic, {learned_key, encode_frame({0, learned})},
+                append_timeout,
+                [this](const log_result<append_receipt>& result)
+                {
+                    const auto* failure = std::get_if<log_failure>(&result);
+                    if (failure)
+                        decisions_.record(
+                            log_event::log_append_failed,
+                            {{"topic", settings_.learned_topic.get()},
+                             {"cause", std::string(to_string(failure->kind))},
+                             {"detail", failure->detail}});
+                });
+}
+
 void gateway_node::impl::on_listed()
 {
     publish_self();
@@ -371,7 +432,9 @@
         executor_.on_announcement(wire_.read_announcement(request));
         if (const auto& server = executor_.server())
         {
-            entry_.set_caller(server->service);
+            // A departure may be all that this process has heard of its server.
+            if (!server->service.get().empty())
+                entry_.set_caller(server->service);
             if (const auto* service = table_ ? table_->service(server->service) : nullptr)
                 executor_.configure(*service);
         }
@@ -440,11 +503,9 @@
     report.version = table_ ? table_->config().version : config_version(0);
     executor_.fill_report(report);
     report.routes = entry_.arrivals();
-    if (!with_learned)
-        return report;
-    for (const auto& route : executor_.measured_routes())
-        report.routes.push_back({route, 0, 0});
-    executor_.fill_learned(report);
+    executor_.add_slot_times(report);
+    if (with_learned)
+        report.calls = executor_.learned_calls();
     return report;
 }
 
--- /dev/null
+++ b/src/gateway/origin_tracker_test.cpp
@@ -0,0 +1,74 @@
+#include <criterion/criterion.h>
+
+#include "fescueridge/gateway/origin_tracker.hpp"
+
+using namespace fescueridge;
+using namespace fescueridge::gateway;
+
+namespace
+{
+
+const route_name browse("browse");
+const route_name rates("rates");
+
+node_report_message report_of(const std::string& service, std::vector<route_load> routes)
+{
+    node_report_message report;
+    report.server = server_record{};
+    report.server->service = service_name(service);
+    report.routes = std::move(routes);
+    return report;
+}
+
+void update(origin_tracker& tracker, double seconds, double browse_per_s,
+            double rates_per_s)
+{
+    tracker.begin_update(seconds);
+    tracker.add(report_of("menu", {{browse, browse_per_s, 0}, {rates, rates_per_s, 0}}));
+    tracker.add(report_of("prices", {{browse, browse_per_s, 0}}));
+    tracker.end_update();
+}
+
+} // namespace
+
+// Guards against calls of backend servers being refused as if they were new requests:
+// they come from the same address as those of clients.
+Test(origin_tracker, tells_routes_that_servers_call_by_where_requests_begin)
+{
+    origin_tracker tracker;
+    update(tracker, 1, 20, 80);
+    cr_expect_eq(tracker.called_routes().size(), 1U);
+    cr_expect_eq(tracker.called_routes().count(rates), 1U);
+}
+
+// Guards against a route of clients counting as called by servers because its first few
+// requests happen to begin at nodes of one service.
+Test(origin_tracker, waits_for_enough_requests)
+{
+    origin_tracker tracker;
+    update(tracker, 0.1, 0, 50);
+    cr_expect(tracker.called_routes().empty());
+    for (int i = 0; i < 10; ++i)
+        update(tracker, 0.1, 0, 50);
+    cr_expect_eq(tracker.called_routes().count(rates), 1U);
+}
+
+// Guards against a route changing sides when its requests pause.
+Test(origin_tracker, keeps_what_is_known_of_a_route_without_requests)
+{
+    origin_tracker tracker;
+    update(tracker, 1, 20, 80);
+    for (int i = 0; i < 60; ++i)
+        update(tracker, 1, 20, 0);
+    cr_expect_eq(tracker.called_routes().count(rates), 1U);
+}
+
+// Guards against guessing where all nodes are beside servers of one service.
+Test(origin_tracker, says_nothing_with_one_service)
+{
+    origin_tracker tracker;
+    tracker.begin_update(10);
+    tracker.add(report_of("menu", {{browse, 100, 0}}));
+    tracker.end_update();
+    cr_expect(tracker.called_routes().empty());
+}
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -229,9 +229,7 @@
     peer* known = find(from);
     if (!known)
         return;
-    // Routes and calls are told less often than the rest.
-    if (report.routes.empty())
-        report.routes = std::move(known->report.routes);
+    // Calls are told less often than the rest.
     if (report.calls.empty())
         report.calls = std::move(known->report.calls);
     known->report = std::move(report);
--- a/src/gateway/run_executor.cpp
+++ b/src/gateway/run_executor.cpp
@@ -14,9 +14,9 @@
 /// announced itself to this process yet.
 const slot_count assumed_slots{16};
 
-/// Part of the slots that stays free: health checks and new connections take slots for a
-/// moment, and some servers slow down when they are full.
-constexpr std::uint32_t spare_slots_in = 20;
+/// Percentage of the slots that stays free: health checks and new connections take slots
+/// for a moment, and some servers slow down when they are nearly full.
+constexpr std::uint32_t spare_slots_percent = 6;
 
 /// A server's own answer at the deadline is worth waiting for.
 constexpr milliseconds answer_margin{100};
@@ -97,8 +97,9 @@
 
 std::uint32_t run_executor::limit_for(slot_count slots) const
 {
-    const std::uint32_t spare = std::max(1U, slots.get() / spare_slots_in);
-    return std::max(1U, slots.get() > spare ? slots.get() - spare : slots.get());
+    constexpr std::uint32_t percent = 100;
+    const auto spare = (slots.get() * spare_slots_percent + percent - 1) / percent;
+    return std::max(1U, slots.get() - std::min(spare, slots.get()));
 }
 
 void run_executor::configure(const service_settings& settings)
@@ -124,6 +125,16 @@
     carry_out(moves);
 }
 
+void run_executor::on_call_of_server(const route_name& callee, milliseconds time_left)
+{
+    const auto ends = clock::now() + time_left;
+    std::vector<possible_parent> running;
+    for (const auto& [number, held] : runs_)
+        if (held.sent != time_point{})
+            running.push_back({held.call.route, held.deadline - ends});
+    graph_.on_call(callee, time_left, running);
+}
+
 server_change run_executor::on_announcement(const server_announcement& announcement)
 {
     const auto before = tracker_.server();
@@ -215,19 +226,10 @@
     report.service_ms = queue_.slot_ms();
 }
 
-void run_executor::fill_learned(node_report_message& report) const
-{
-    report.calls = graph_.edges();
-    for (auto& route : report.routes)
-        route.slot_ms = queue_.slot_ms(route.route);
-}
-
-std::vector<route_name> run_executor::measured_routes() const
+void run_executor::add_slot_times(node_report_message& report) const
 {
-    std::vector<route_name> routes;
     for (const auto& [route, ms] : queue_.slot_times())
-        routes.push_back(route);
-    return routes;
+        report.routes.push_back({route, 0, ms});
 }
 
 run_number run_executor::submit(forward_message call, callback done)
@@ -300,7 +302,6 @@
     const auto found = runs_.find(number);
     if (found == runs_.end())
         return;
-    graph_.on_run_ended(found->second.call.route);
     if (auto* answer = std::get_if<http_response>(&result))
         on_answer(number, std::move(*answer));
     else
--- a/src/gateway/run_queue.cpp
+++ b/src/gateway/run_queue.cpp
@@ -11,8 +11,8 @@
 /// Weight of a new sample in the mean slot time: about the last 20 requests.
 constexpr double slot_weight = 0.05;
 
-/// Weight of a new sample in the mean wait: about the last 10 starts.
-constexpr double wait_weight = 0.1;
+/// Weight of a new sample in the mean wait: about the last 50 starts.
+constexpr double wait_weight = 0.02;
 
 /// Time after which the mean wait has halved when nothing starts.
 constexpr double wait_half_life_ms = 200;
--- a/src/include/fescueridge/gateway/admission_plan.hpp
+++ b/src/include/fescueridge/gateway/admission_plan.hpp
@@ -53,14 +53,15 @@
 class capacity_trim
 {
 public:
-    /// Takes a new observation and returns the factor for the capacity. `wait_ms` is the
-    /// mean wait for a slot, `use` the share of the slots in use.
-    double update(double wait_ms, double use);
+    /// Takes the mean wait for a slot, every 100 ms, and returns the factor for the
+    /// capacity. It changes slowly against the time from the admission of a request to
+    /// its calls at deep services, so that it does not swing.
+    double update(double wait_ms);
 
     double factor() const noexcept { return factor_; }
 
 private:
-    double factor_ = 1;
+    double factor_ = 0.95;
 };
 
 } // namespace fescueridge::gateway
--- a/src/include/fescueridge/gateway/call_graph.hpp
+++ b/src/include/fescueridge/gateway/call_graph.hpp
@@ -4,24 +4,36 @@
 #include <unordered_map>
 #include <vector>
 
+#include "fescueridge/base/clock.hpp"
 #include "fescueridge/base/types.hpp"
 #include "fescueridge/codec/gateway_messages.hpp"
 
 namespace fescueridge::gateway
 {
 
+/// A run that may have made a call, and how much later than the call its time ends.
+struct possible_parent
+{
+    route_name route;
+    milliseconds ends_later{0};
+};
+
 /// Learns how often a run of each route calls other routes, from the calls of the backend
-/// server beside this node. The calls do not name their parent, so each is divided among
-/// the routes that run at that moment, by what is known of them so far
-/// (expectation-maximization).
+/// server beside this node. The calls do not name their parent, but they end with it at
+/// the latest. So a call whose time was cut short by its parent has the parent whose time
+/// ends with it; others are divided among the runs that end later, by what calls of the
+/// first kind have shown of their routes.
 class call_graph_learner
 {
 public:
     void on_run_started(const route_name& route);
-    void on_run_ended(const route_name& route);
 
-    /// Records a call of the backend server.
-    void on_call(const route_name& callee);
+    /// Takes what another process has learned, as a start.
+    void remember(const std::vector<call_edge>& edges);
+
+    /// Records a call of the backend server and the runs that may have made it.
+    void on_call(const route_name& callee, milliseconds time_left,
+                 const std::vector<possible_parent>& running);
 
     /// Lets what was learned fade, so that changes show; call it once a second.
     void fade();
@@ -30,11 +42,14 @@
     std::vector<call_edge> edges() const;
 
 private:
-    double rate(const route_name& from, const route_name& to) const;
+    using counts = std::map<route_name, std::map<route_name, double>>;
+
+    double known_rate(const route_name& from, const route_name& to) const;
 
-    std::map<route_name, unsigned> running_;
     std::map<route_name, double> runs_;
-    std::map<route_name, std::map<route_name, double>> calls_;
+    counts calls_;
+    counts certain_calls_; ///< Those whose parent is known.
+    std::map<route_name, milliseconds> longest_time_;
 };
 
 /// Slot time in milliseconds that one request of a route takes at each service, its own
@@ -48,8 +63,8 @@
     double slot_ms = 0;
 };
 
-/// Returns the costs of each route. Cycles end at the deepest call chain that the design
-/// allows.
+/// Returns the costs of each route. A call that leads back to a route above it is left
+/// out: it comes from the uncertainty of what was learned.
 std::map<route_name, service_costs>
 service_costs_of(const std::map<route_name, route_cost_input>& routes,
                  const std::vector<call_edge>& calls);
--- a/src/include/fescueridge/gateway/entry_port.hpp
+++ b/src/include/fescueridge/gateway/entry_port.hpp
@@ -9,6 +9,7 @@
 #include "fescueridge/base/metrics.hpp"
 #include "fescueridge/base/random.hpp"
 #include "fescueridge/gateway/admission_plan.hpp"
+#include "fescueridge/gateway/origin_tracker.hpp"
 #include "fescueridge/gateway/peers.hpp"
 #include "fescueridge/gateway/placement.hpp"
 #include "fescueridge/gateway/retry_share.hpp"
@@ -53,7 +54,14 @@
     /// Computes the shares of routes anew; call it every 100 ms.
     void update_shares();
 
-    /// Returns the arrivals of clients for each route, for reports.
+    /// Takes calls and routes of servers that processes before this one have learned.
+    /// They count until nodes report calls of the same routes.
+    void remember_calls(const std::vector<call_edge>& edges);
+
+    /// Returns the calls that the nodes have learned together.
+    const std::vector<call_edge>& calls() const noexcept { return edges_; }
+
+    /// Returns the arrivals of requests for each route, for reports.
     std::vector<route_load> arrivals() const;
 
     std::size_t open_requests() const noexcept { return requests_.size(); }
@@ -85,6 +93,9 @@
     std::map<service_name, double> downstream_calls(const route_name& route) const;
     void log_request(log_event event, const request_state& request, log_weight weight,
                      std::vector<event_field> more);
+    void log_shares(const std::vector<route_demand>& demands,
+                    const service_capacity& capacity,
+                    const std::map<route_name, double>& shares);
     void count_arrival(const route_name& route);
 
     asio::io_context& io_;
@@ -103,6 +114,8 @@
     request_thinner thinner_;
     std::map<service_name, capacity_trim> trims_;
     std::vector<call_edge> edges_;
+    std::vector<call_edge> remembered_;
+    origin_tracker origins_;
     struct arrival_meter
     {
         double count = 0; ///< Since the last update.
@@ -110,6 +123,8 @@
     };
     std::map<route_name, arrival_meter> arrivals_;
     time_point last_update_{};
+    time_point next_shares_line_{};
+    bool all_admitted_ = false; ///< The last line about shares said so.
     double own_failure_share_ = 0;
     entry_counters counters_;
     duration_metric latency_;
--- a/src/include/fescueridge/gateway/run_executor.hpp
+++ b/src/include/fescueridge/gateway/run_executor.hpp
@@ -66,7 +66,7 @@
     }
 
     /// Records a call that the server beside this node makes.
-    void on_call_of_server(const route_name& callee) { graph_.on_call(callee); }
+    void on_call_of_server(const route_name& callee, milliseconds time_left);
 
     /// Takes what operators set for the service.
     void configure(const service_settings& settings);
@@ -86,12 +86,14 @@
     /// Fills in what this node reports about its server.
     void fill_report(node_report_message& report) const;
 
-    /// Fills in the calls that were learned and the slot times of the routes in the
-    /// report.
-    void fill_learned(node_report_message& report) const;
+    /// Adds how long requests of each route hold a slot.
+    void add_slot_times(node_report_message& report) const;
 
-    /// Returns the routes whose slot times are known here.
-    std::vector<route_name> measured_routes() const;
+    /// Takes what another process has learned of calls.
+    void remember_calls(const std::vector<call_edge>& edges) { graph_.remember(edges); }
+
+    /// Returns what was learned of the calls of the server.
+    std::vector<call_edge> learned_calls() const { return graph_.edges(); }
 
     void fade_graph() { graph_.fade(); }
 
--- a/src/include/fescueridge/gateway/settings.hpp
+++ b/src/include/fescueridge/gateway/settings.hpp
@@ -34,6 +34,7 @@
     topic_name config_topic;
     std::string config_key;
     topic_name nodes_topic;
+    topic_name learned_topic; ///< What nodes have learned of calls between services.
 };
 
 } // namespace fescueridge::gateway
