--- a/scripts/run_linter.sh
+++ b/scripts/run_linter.sh
@@ -11,7 +11,7 @@
     local file=$1 stamp
     stamp="$cache/$(printf '%s' "$file" | tr '/' '_').clean"
     local newest
-    newest=$(find src testsuite -name '*.hpp' -newer "$stamp" 2>/dev/null | head -1 || true)
+    newest=$(find src testsuite platform -name '*.hpp' -newer "$stamp" 2>/dev/null | head -1 || true)
     if [ -e "$stamp" ] && [ "$stamp" -nt "$file" ] && [ "$stamp" -nt .clang-tidy ] && [ -z "$newest" ]; then
         return 0
     fi
@@ -25,5 +25,5 @@
 export -f lint_one
 export build cache
 
-git ls-files -- 'src/*.cpp' 'testsuite/*.cpp' | grep -v '_test\.cpp$' |
+git ls-files -- 'src/*.cpp' 'testsuite/*.cpp' 'platform/*.cpp' | grep -v '_test\.cpp$' |
     xargs -r -P "$(nproc)" -I{} bash -c 'lint_one {}'
--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -60,7 +60,7 @@
 for program in "$build"/bin/*_test; do
     [ -x "$program" ] && run_unit_tests "$program"
 done
-for script in spec/run.sh testsuite/*/run.sh; do
+for script in spec/run.sh testsuite/*/run.sh platform/testsuite/*/run.sh; do
     [ -x "$script" ] && run_script "$script"
 done
 
--- a/src/codec/gateway_codec.cpp
+++ b/src/codec/gateway_codec.cpp
@@ -39,28 +39,43 @@
     return server;
 }
 
-double read_amount(field_reader& in)
+/// Amounts are written in thousandths: most bytes of a report are numbers.
+constexpr double thousandths = 1000;
+
+json to_thousandths(double amount)
 {
-    const double value = in.real();
-    if (!std::isfinite(value) || value < 0)
-        throw codec_error("an amount is negative or not finite");
-    return value;
+    return std::llround(amount * thousandths);
 }
 
-std::vector<route_load> read_routes(field_reader& in)
+double from_thousandths(field_reader& in)
 {
-    std::vector<route_load> routes;
+    return static_cast<double>(in.number<std::int64_t>()) / thousandths;
+}
+
+template <class Entry>
+std::vector<Entry> read_amounts(field_reader& in, double Entry::*amount)
+{
+    std::vector<Entry> entries;
     for (const json& entry : in.array(1))
     {
         field_reader fields(entry);
-        route_load route;
-        route.route = route_name(fields.text());
-        route.arrivals_per_s = read_amount(fields);
-        route.slot_ms = read_amount(fields);
+        Entry read;
+        read.route = route_name(fields.text());
+        read.*amount = from_thousandths(fields);
         fields.expect_end();
-        routes.push_back(std::move(route));
+        entries.push_back(std::move(read));
     }
-    return routes;
+    return entries;
+}
+
+template <class Entry>
+json to_array(const std::vector<Entry>& entries, double Entry::*amount)
+{
+    json out = json::array();
+    for (const Entry& entry : entries)
+        out.push_back(
+            json::array({to_binary(entry.route.get()), to_thousandths(entry.*amount)}));
+    return out;
 }
 
 std::vector<call_edge> read_calls(field_reader& in)
@@ -72,7 +87,7 @@
         call_edge edge;
         edge.from = route_name(fields.text());
         edge.to = route_name(fields.text());
-        edge.calls_per_run = read_amount(fields);
+        edge.calls_per_run = from_thousandths(fields);
         fields.expect_end();
         calls.push_back(std::move(edge));
     }
@@ -153,19 +168,17 @@
 
 void append_fields(json& out, const node_report_message& m)
 {
-    json routes = json::array();
-    for (const route_load& route : m.routes)
-        routes.push_back(json::array(
-            {to_binary(route.route.get()), route.arrivals_per_s, route.slot_ms}));
     json calls = json::array();
     for (const call_edge& edge : m.calls)
-        calls.push_back(json::array(
-            {to_binary(edge.from.get()), to_binary(edge.to.get()), edge.calls_per_run}));
+        calls.push_back(json::array({to_binary(edge.from.get()), to_binary(edge.to.get()),
+                                     to_thousandths(edge.calls_per_run)}));
     json servers = json::array();
     if (m.server)
         servers.push_back(to_array(*m.server));
     append(out, m.version.get(), std::move(servers), m.accepting ? 1 : 0, m.load.running,
-           m.load.waiting, m.limit, m.queue_wait_ms, m.service_ms, std::move(routes),
+           m.load.waiting, m.limit, to_thousandths(m.queue_wait_ms),
+           to_thousandths(m.service_ms), to_array(m.arrivals, &route_arrivals::per_s),
+           m.with_learned ? 1 : 0, to_array(m.slot_times, &route_slot_time::ms),
            std::move(calls));
 }
 
@@ -178,9 +191,11 @@
     m.accepting = in.number<int>(0, 1) == 1;
     m.load = read_load(in);
     m.limit = in.number<std::uint32_t>(0, max_32);
-    m.queue_wait_ms = read_amount(in);
-    m.service_ms = read_amount(in);
-    m.routes = read_routes(in);
+    m.queue_wait_ms = from_thousandths(in);
+    m.service_ms = from_thousandths(in);
+    m.arrivals = read_amounts(in, &route_arrivals::per_s);
+    m.with_learned = in.number<int>(0, 1) == 1;
+    m.slot_times = read_amounts(in, &route_slot_time::ms);
     m.calls = read_calls(in);
     return m;
 }
--- /dev/null
+++ b/src/gateway/admission_plan_test.cpp
@@ -0,0 +1,103 @@
+#include <criterion/criterion.h>
+
+#include "fescueridge/gateway/admission_plan.hpp"
+
+using namespace fescueridge;
+using namespace fescueridge::gateway;
+
+namespace
+{
+
+const service_name menu("menu");
+const service_name tills("tills");
+const route_name browse("browse");
+const route_name push("push");
+const route_name lookup("lookup");
+
+route_demand demand(const route_name& route, int rank, double per_s, service_costs costs)
+{
+    return {route, priority(static_cast<std::uint8_t>(rank)), per_s, std::move(costs)};
+}
+
+/// The surge of a Saturday: browsing asks the tills for 88 ms a request, pushes for 176.
+std::vector<route_demand> surge()
+{
+    return {demand(browse, 2, 900, {{menu, 100}, {tills, 88}}),
+            demand(push, 0, 390, {{tills, 176}}), demand(lookup, 1, 320, {{tills, 36}})};
+}
+
+} // namespace
+
+Test(admission_plan, admits_everything_below_the_capacity)
+{
+    const auto shares = admitted_shares(surge(), {{menu, 900'000}, {tills, 200'000}});
+    for (const auto& [route, share] : shares)
+        cr_expect_eq(share, 1, "%s", route.get().c_str());
+}
+
+// Guards against important requests being refused for less important ones that happen to
+// begin at the same time.
+Test(admission_plan, gives_the_capacity_to_the_most_important_routes_first)
+{
+    const auto shares = admitted_shares(surge(), {{menu, 900'000}, {tills, 108'000}});
+    cr_expect_eq(shares.at(push), 1);
+    cr_expect_eq(shares.at(lookup), 1);
+    const double left = 108'000 - 390 * 176 - 320 * 36;
+    cr_expect_float_eq(shares.at(browse), left / (900 * 88), 1e-9);
+}
+
+// Guards against refusing routes that do not need the service that is short.
+Test(admission_plan, refuses_nothing_that_needs_other_services_only)
+{
+    auto demands = surge();
+    const route_name publish("publish");
+    demands.push_back(demand(publish, 3, 100, {{menu, 60}}));
+    const auto shares = admitted_shares(demands, {{menu, 900'000}, {tills, 50'000}});
+    cr_expect_eq(shares.at(publish), 1);
+    cr_expect_eq(shares.at(browse), 0);
+    cr_expect_lt(shares.at(push), 1);
+}
+
+// Guards against a service without any known capacity closing all routes: nothing is
+// known of it, and its own node decides.
+Test(admission_plan, does_not_limit_by_a_service_that_nobody_reports)
+{
+    const auto shares = admitted_shares(surge(), {{menu, 900'000}});
+    cr_expect_eq(shares.at(browse), 1);
+}
+
+// Guards against shares that come in bursts: every second one of 0.5, not ten in a row.
+Test(request_thinner, spreads_what_it_admits)
+{
+    request_thinner thinner;
+    thinner.set_shares({{browse, 0.5}});
+    int admitted = 0;
+    int run_length = 0;
+    for (int i = 0; i < 100; ++i)
+    {
+        const bool now = thinner.admit(browse);
+        admitted += now ? 1 : 0;
+        run_length = now ? run_length + 1 : 0;
+        cr_expect_leq(run_length, 1);
+    }
+    cr_expect_eq(admitted, 50);
+    cr_expect(thinner.admit(lookup));
+}
+
+// Guards against the correction swinging: one bad second changes it by a tenth at most.
+Test(capacity_trim, follows_long_waits_slowly_and_recovers)
+{
+    capacity_trim trim;
+    const double before = trim.factor();
+    for (int i = 0; i < 10; ++i)
+        trim.update(200);
+    cr_expect_gt(trim.factor(), 0.88 * before);
+    for (int i = 0; i < 1'000; ++i)
+        trim.update(200);
+    const double low = trim.factor();
+    cr_expect_geq(low, 0.3);
+    for (int i = 0; i < 1'000; ++i)
+        trim.update(0);
+    cr_expect_gt(trim.factor(), low);
+    cr_expect_leq(trim.factor(), 1);
+}
--- a/src/gateway/entry_port.cpp
+++ b/src/gateway/entry_port.cpp
@@ -204,7 +204,7 @@
     for (const auto& [node, other] : peers_.all())
     {
         const auto& report = other.report;
-        if (other.connection && report.accepting && report.server &&
+        if (!peers::is_doubtful(other) && report.accepting && report.server &&
             report.server->service == service && !is_tried(node))
             found.push_back(candidate_of(other));
     }
@@ -312,7 +312,8 @@
         return reject(request, may_have_run ? rejection::timeout : rejection::overload);
     // A rejection by the server counts as an arrival there, so the next one is a repeat.
     if (reply.failure == forward_failure::server_rejected &&
-        !retries_.try_spend(request->message.service, {}, clock::now()))
+        !retries_.try_spend(request->message.service, {}, !request->message.from_server,
+                            clock::now()))
         return reject(request,
                       may_have_run ? rejection::server_failed : rejection::overload);
     place(request);
@@ -328,7 +329,8 @@
     // A repeat that cannot end in time would only add load.
     const bool in_time = request->answer_by - now > message.target_latency / 4;
     if (!may_repeat || !in_time || candidates(*request).empty() ||
-        !retries_.try_spend(message.service, downstream_calls(message.route), now))
+        !retries_.try_spend(message.service, downstream_calls(message.route),
+                            !message.from_server, now))
         return false;
     ++counters_.retried;
     log_request(log_event::request_retried, *request, log_weight::failure,
@@ -462,13 +464,13 @@
     decisions_.record(event, std::move(fields), weight);
 }
 
-std::vector<route_load> entry_port::arrivals() const
+std::vector<route_arrivals> entry_port::arrivals() const
 {
     constexpr double least_rate = 0.05;
-    std::vector<route_load> loads;
+    std::vector<route_arrivals> loads;
     for (const auto& [route, meter] : arrivals_)
         if (meter.per_s > least_rate)
-            loads.push_back({route, meter.per_s, 0});
+            loads.push_back({route, meter.per_s});
     return loads;
 }
 
--- a/src/gateway/entry_shares.cpp
+++ b/src/gateway/entry_shares.cpp
@@ -87,9 +87,8 @@
     origins_.begin_update(seconds);
     node_report_message own;
     executor_.fill_report(own);
-    own.routes = arrivals();
-    executor_.add_slot_times(own);
-    own.calls = executor_.learned_calls();
+    own.arrivals = arrivals();
+    executor_.add_learned(own);
     fleet.add(own, now);
     origins_.add(own);
     for (const auto& [node, other] : peers_.all())
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -16,13 +16,12 @@
 {
     if (now_ - reported > report_lifetime)
         return;
-    for (const auto& route : report.routes)
-    {
-        arrivals_[route.route] += route.arrivals_per_s;
-        // A faster server runs more of the requests.
-        if (route.slot_ms > 0)
-            slot_ms_[route.route].add(route.slot_ms, report.limit / route.slot_ms);
-    }
+    for (const auto& route : report.arrivals)
+        arrivals_[route.route] += route.per_s;
+    // A faster server runs more of the requests.
+    for (const auto& route : report.slot_times)
+        if (route.ms > 0)
+            slot_ms_[route.route].add(route.ms, report.limit / route.ms);
     std::set<route_name> observed;
     for (const auto& edge : report.calls)
     {
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -502,10 +502,9 @@
     node_report_message report;
     report.version = table_ ? table_->config().version : config_version(0);
     executor_.fill_report(report);
-    report.routes = entry_.arrivals();
-    executor_.add_slot_times(report);
+    report.arrivals = entry_.arrivals();
     if (with_learned)
-        report.calls = executor_.learned_calls();
+        executor_.add_learned(report);
     return report;
 }
 
--- a/src/gateway/metrics_text.cpp
+++ b/src/gateway/metrics_text.cpp
@@ -43,7 +43,7 @@
     for (const auto& load : entry.arrivals())
     {
         const auto label = fmt::format("route=\"{}\"", load.route.get());
-        out.add("route_arrivals_per_second", label, load.arrivals_per_s);
+        out.add("route_arrivals_per_second", label, load.per_s);
         out.add("route_admitted_share", label, entry.shares().share(load.route));
     }
 }
--- a/src/gateway/origin_tracker.cpp
+++ b/src/gateway/origin_tracker.cpp
@@ -39,9 +39,8 @@
         return;
     const auto& service = report.server->service;
     ++nodes_[service];
-    for (const auto& route : report.routes)
-        if (route.arrivals_per_s > 0)
-            requests_[route.route][service] += route.arrivals_per_s * seconds_;
+    for (const auto& route : report.arrivals)
+        requests_[route.route][service] += route.per_s * seconds_;
 }
 
 void origin_tracker::end_update()
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -19,9 +19,13 @@
 
 /// Heartbeat of the links. A link that is silent for longer loses its requests, and the
 /// peer gets no more.
-constexpr link_options heartbeat{milliseconds{300}, milliseconds{1'200},
+constexpr link_options heartbeat{milliseconds{200}, milliseconds{1'200},
                                  milliseconds{1'000}};
 
+/// A peer whose link is silent for longer gets no new requests while others can take
+/// them: two heartbeats are missing.
+constexpr milliseconds doubtful_silence{550};
+
 /// Weight of one outcome in the share of failures: about the last 20 requests.
 constexpr double outcome_weight = 0.05;
 
@@ -229,9 +233,11 @@
     peer* known = find(from);
     if (!known)
         return;
-    // Calls are told less often than the rest.
-    if (report.calls.empty())
+    if (!report.with_learned)
+    {
+        report.slot_times = std::move(known->report.slot_times);
         report.calls = std::move(known->report.calls);
+    }
     known->report = std::move(report);
     known->reported = clock::now();
     known->sent_since_report = 0;
@@ -289,6 +295,11 @@
     forwarded_.erase(found);
 }
 
+bool peers::is_doubtful(const peer& other)
+{
+    return !other.connection || other.connection->silent_for() > doubtful_silence;
+}
+
 void peers::broadcast(const link_message& message)
 {
     for (const auto& [node, other] : peers_)
--- /dev/null
+++ b/src/gateway/placement_test.cpp
@@ -0,0 +1,76 @@
+#include <criterion/criterion.h>
+#include <map>
+
+#include "fescueridge/gateway/placement.hpp"
+
+using namespace fescueridge;
+using namespace fescueridge::gateway;
+
+namespace
+{
+
+placement_candidate candidate(const std::string& node, distance from,
+                              std::uint32_t running, double service_ms = 20)
+{
+    placement_candidate made;
+    made.node = node_id(node);
+    made.from = from;
+    made.load = {running, 0};
+    made.limit = 27;
+    made.service_ms = service_ms;
+    return made;
+}
+
+std::map<std::string, int> choose_often(const std::vector<placement_candidate>& from)
+{
+    random_engine random(3);
+    std::map<std::string, int> chosen;
+    for (int i = 0; i < 1'000; ++i)
+        ++chosen[choose_server(from, random)->get()];
+    return chosen;
+}
+
+} // namespace
+
+Test(placement, finds_nothing_without_candidates)
+{
+    random_engine random(1);
+    cr_expect(!choose_server({}, random));
+}
+
+// Guards against traffic between failure domains that a free server nearby makes
+// needless.
+Test(placement, stays_in_the_own_domain_while_it_has_slots_to_spare)
+{
+    const auto chosen = choose_often({candidate("near", distance::same_domain, 10),
+                                      candidate("far", distance::other_domain, 0)});
+    cr_expect_eq(chosen.count("far"), 0U);
+}
+
+// Guards against callers queueing in their own domain beside free servers.
+Test(placement, leaves_the_own_domain_when_it_is_full)
+{
+    auto full = candidate("near", distance::same_domain, 27);
+    full.load.waiting = 20;
+    auto chosen = choose_often({full, candidate("far", distance::other_domain, 5)});
+    cr_expect_gt(chosen["far"], 900);
+}
+
+// Guards against a slow server getting as much as fast ones when all are nearly full.
+Test(placement, prefers_the_faster_server_under_load)
+{
+    auto chosen = choose_often({candidate("slow", distance::same_domain, 26, 45),
+                                candidate("fast", distance::same_domain, 26, 15),
+                                candidate("far", distance::other_domain, 26, 15)});
+    cr_expect_gt(chosen["fast"], chosen["slow"]);
+}
+
+// Guards against a server that answers quickly with failures drawing the requests.
+Test(placement, avoids_a_server_that_fails_requests)
+{
+    auto failing = candidate("failing", distance::same_domain, 0, 5);
+    failing.failure_share = 0.5;
+    auto chosen =
+        choose_often({failing, candidate("sound", distance::same_domain, 5, 20)});
+    cr_expect_gt(chosen["sound"], 700);
+}
--- a/src/gateway/retry_share.cpp
+++ b/src/gateway/retry_share.cpp
@@ -8,8 +8,12 @@
 {
 
 /// Part of the shared budget that the nodes spend together. The rest covers repeats that
-/// no node decides, such as calls made by a run that is itself a repeat.
-constexpr double spent_part = 0.5;
+/// no node counts, such as calls beyond those that were learned.
+constexpr double spent_part = 0.85;
+
+/// Part of a bucket that calls of running requests leave to requests of clients. A
+/// client's request needs one repeat to succeed; a call is one of many that must.
+constexpr double kept_for_clients = 0.5;
 
 } // namespace
 
@@ -18,6 +22,12 @@
     return nodes_ == 0 ? 0 : spent_part * slack_ / static_cast<double>(nodes_);
 }
 
+double retry_share::most_tokens() const
+{
+    constexpr double least = 3;
+    return std::max(least, part_of_slack() / 2);
+}
+
 // A window can hold a full bucket and what flows in during the window; both together are
 // the node's part.
 retry_share::bucket& retry_share::fill(const service_name& service, time_point now)
@@ -41,18 +51,18 @@
 void retry_share::on_request(const service_name& service, time_point now)
 {
     bucket& held = fill(service, now);
-    const double most = std::max(1.0, part_of_slack() / 2) + 2;
-    held.tokens = std::min(most, held.tokens + spent_part * ratio_);
+    held.tokens = std::min(most_tokens(), held.tokens + spent_part * ratio_);
 }
 
 bool retry_share::try_spend(const service_name& service,
                             const std::map<service_name, double>& downstream,
-                            time_point now)
+                            bool for_client, time_point now)
 {
     auto charges = downstream;
     charges[service] += 1;
+    const double kept = for_client ? 0 : kept_for_clients * most_tokens();
     for (const auto& [charged, amount] : charges)
-        if (fill(charged, now).tokens < amount)
+        if (fill(charged, now).tokens < amount + kept)
             return false;
     for (const auto& [charged, amount] : charges)
         fill(charged, now).tokens -= amount;
--- /dev/null
+++ b/src/gateway/retry_share_test.cpp
@@ -0,0 +1,81 @@
+#include <criterion/criterion.h>
+
+#include "fescueridge/gateway/retry_share.hpp"
+
+using namespace fescueridge;
+using namespace fescueridge::gateway;
+
+namespace
+{
+
+const service_name tills("tills");
+const service_name menu("menu");
+const time_point start{milliseconds{1'000'000}};
+constexpr milliseconds window{10'000};
+
+/// Plays a window in which every request fails and returns the repeats that one node of
+/// `nodes` makes.
+double repeats_in_window(std::size_t nodes, double slack, int requests, bool for_client)
+{
+    retry_share share(0.2, slack, window);
+    share.set_nodes(nodes);
+    int repeats = 0;
+    for (int i = 0; i < requests; ++i)
+    {
+        const auto now = start + window * i / requests;
+        share.on_request(tills, now);
+        repeats += share.try_spend(tills, {}, for_client, now) ? 1 : 0;
+    }
+    return repeats;
+}
+
+} // namespace
+
+// Guards against retries that multiply an overload: the budget of all nodes together
+// holds when every request fails on every node.
+Test(retry_share, stays_within_the_shared_budget_when_everything_fails)
+{
+    constexpr std::size_t nodes = 17;
+    constexpr double slack = 49;
+    for (const int requests : {10, 100, 1'000, 10'000})
+    {
+        const double sum = nodes * repeats_in_window(nodes, slack, requests, true);
+        cr_expect_leq(sum, 0.2 * nodes * requests + slack, "%d requests: %f", requests,
+                      sum);
+    }
+}
+
+// Guards against most of a budget being left unused while requests fail.
+Test(retry_share, spends_most_of_the_ratio_under_steady_failures)
+{
+    cr_expect_gt(repeats_in_window(17, 49, 10'000, true), 0.15 * 10'000);
+}
+
+// Guards against a node spending the slack before it knows how many nodes share it.
+Test(retry_share, spends_no_slack_while_the_nodes_are_unknown)
+{
+    retry_share share(0.2, 49, window);
+    cr_expect(!share.try_spend(tills, {}, true, start));
+}
+
+// Guards against calls of running requests using up what clients' requests need.
+Test(retry_share, leaves_a_part_to_requests_of_clients)
+{
+    retry_share share(0.2, 1'000, window);
+    share.set_nodes(1);
+    share.on_request(tills, start);
+    while (share.try_spend(tills, {}, false, start))
+    {
+    }
+    cr_expect(share.try_spend(tills, {}, true, start));
+}
+
+// Guards against a repeat that starts calls for which another service has no budget left.
+Test(retry_share, charges_the_services_that_a_repeat_calls)
+{
+    retry_share share(0.2, 20, window);
+    share.set_nodes(2);
+    share.on_request(menu, start);
+    cr_expect(!share.try_spend(menu, {{tills, 100}}, true, start));
+    cr_expect(share.try_spend(menu, {{tills, 1}}, true, start));
+}
--- a/src/gateway/run_executor.cpp
+++ b/src/gateway/run_executor.cpp
@@ -226,10 +226,12 @@
     report.service_ms = queue_.slot_ms();
 }
 
-void run_executor::add_slot_times(node_report_message& report) const
+void run_executor::add_learned(node_report_message& report) const
 {
+    report.with_learned = true;
+    report.calls = graph_.edges();
     for (const auto& [route, ms] : queue_.slot_times())
-        report.routes.push_back({route, 0, ms});
+        report.slot_times.push_back({route, ms});
 }
 
 run_number run_executor::submit(forward_message call, callback done)
--- a/src/gateway/run_queue.cpp
+++ b/src/gateway/run_queue.cpp
@@ -53,8 +53,12 @@
 
 double run_queue::expected_wait_ms(const run_offer& run, time_point now) const
 {
-    const order_key place{now + run.target_latency, next_order_};
-    const auto ahead = std::distance(waiting_.begin(), waiting_.lower_bound(place));
+    const order_key key{now + run.target_latency, next_order_};
+    const lane& own = run.from_server ? calls_ : clients_;
+    const lane& other = run.from_server ? clients_ : calls_;
+    const auto before =
+        static_cast<std::size_t>(std::distance(own.begin(), own.lower_bound(key)));
+    const auto ahead = before + std::min(before + 1, other.size());
     return static_cast<double>(ahead + 1) * slot_ms_ / std::max(1U, limit_);
 }
 
@@ -62,7 +66,7 @@
 {
     if (now + from_ms(expected_slot_ms(run.route) / 2) >= run.deadline)
         return run_turned_away{true};
-    if (running_.size() < limit_ && waiting_.empty())
+    if (running_.size() < limit_ && waiting() == 0)
     {
         start(run, now, now);
         return run_started{};
@@ -74,9 +78,10 @@
         !run.from_server && wait > client_wait_share * to_ms(run.target_latency);
     if (limit_ == 0 || ends_late || too_long)
         return run_turned_away{};
-    const order_key place{now + run.target_latency, next_order_++};
-    waiting_.emplace(place, waiting_run{run, now});
-    places_.emplace(run.number, place);
+    const order_key key{now + run.target_latency, next_order_++};
+    lane& in = run.from_server ? calls_ : clients_;
+    in.emplace(key, waiting_run{run, now});
+    places_.emplace(run.number, place{&in, key});
     return run_waits{};
 }
 
@@ -103,12 +108,9 @@
 
 void run_queue::fill(time_point now, queue_moves& moves)
 {
-    while (running_.size() < limit_ && !waiting_.empty())
+    while (running_.size() < limit_ && waiting() > 0)
     {
-        const auto first = waiting_.begin();
-        const auto next = first->second;
-        waiting_.erase(first);
-        places_.erase(next.offer.number);
+        const auto next = take_next();
         if (has_waited_too_long(next, now))
         {
             moves.drop.push_back(next.offer.number);
@@ -119,6 +121,18 @@
     }
 }
 
+run_queue::waiting_run run_queue::take_next()
+{
+    const bool client = calls_.empty() || (client_is_next_ && !clients_.empty());
+    client_is_next_ = !client;
+    lane& from = client ? clients_ : calls_;
+    const auto first = from.begin();
+    const auto next = first->second;
+    from.erase(first);
+    places_.erase(next.offer.number);
+    return next;
+}
+
 queue_moves run_queue::finish(run_number number, time_point now, bool sample)
 {
     queue_moves moves;
@@ -139,18 +153,26 @@
 
 queue_moves run_queue::cancel(run_number number, time_point now)
 {
-    const auto place = places_.find(number);
-    if (place == places_.end())
+    const auto found = places_.find(number);
+    if (found == places_.end())
         return finish(number, now, false);
-    waiting_.erase(place->second);
-    places_.erase(place);
+    found->second.in->erase(found->second.key);
+    places_.erase(found);
     return {};
 }
 
 queue_moves run_queue::poll(time_point now)
 {
     queue_moves moves;
-    for (auto it = waiting_.begin(); it != waiting_.end();)
+    drop_late(clients_, now, moves);
+    drop_late(calls_, now, moves);
+    fill(now, moves);
+    return moves;
+}
+
+void run_queue::drop_late(lane& from, time_point now, queue_moves& moves)
+{
+    for (auto it = from.begin(); it != from.end();)
     {
         if (!has_waited_too_long(it->second, now))
         {
@@ -160,18 +182,18 @@
         record_wait(to_ms(now - it->second.arrival), now);
         moves.drop.push_back(it->second.offer.number);
         places_.erase(it->second.offer.number);
-        it = waiting_.erase(it);
+        it = from.erase(it);
     }
-    fill(now, moves);
-    return moves;
 }
 
 std::vector<run_number> run_queue::drop_waiting()
 {
     std::vector<run_number> dropped;
-    for (const auto& [place, run] : waiting_)
-        dropped.push_back(run.offer.number);
-    waiting_.clear();
+    for (const lane* in : {&clients_, &calls_})
+        for (const auto& [key, run] : *in)
+            dropped.push_back(run.offer.number);
+    clients_.clear();
+    calls_.clear();
     places_.clear();
     return dropped;
 }
--- /dev/null
+++ b/src/gateway/run_queue_test.cpp
@@ -0,0 +1,165 @@
+#include <criterion/criterion.h>
+
+#include "fescueridge/base/random.hpp"
+#include "fescueridge/gateway/run_queue.hpp"
+
+#include <deque>
+#include <map>
+
+using namespace fescueridge;
+using namespace fescueridge::gateway;
+
+namespace
+{
+
+const time_point start{milliseconds{1'000'000}};
+
+run_offer offer_of(std::uint64_t number, int target_ms, int deadline_ms, time_point now,
+                   bool from_server = false)
+{
+    run_offer run;
+    run.number = run_number(number);
+    run.route = route_name(from_server ? "call" : "lookup");
+    run.deadline = now + milliseconds{deadline_ms};
+    run.target_latency = milliseconds{target_ms};
+    run.from_server = from_server;
+    return run;
+}
+
+/// Lets one request run for 20 ms, so that the queue knows slot times.
+void teach(run_queue& queue)
+{
+    queue.offer(offer_of(1'000'000, 100, 1'000, start - milliseconds{20}),
+                start - milliseconds{20});
+    queue.finish(run_number(1'000'000), start);
+}
+
+} // namespace
+
+// Guards against a server getting more requests than it has slots: some servers never
+// answer a request that they cannot queue, nor any later one on its connection.
+Test(run_queue, never_runs_more_than_the_limit)
+{
+    run_queue queue(3);
+    for (std::uint64_t i = 1; i <= 10; ++i)
+        queue.offer(offer_of(i, 300, 700, start, true), start);
+    cr_expect_eq(queue.running(), 3U);
+    cr_expect_eq(queue.waiting(), 7U);
+    const auto moves = queue.finish(run_number(1), start + milliseconds{20});
+    cr_assert_eq(moves.start.size(), 1U);
+    cr_expect_eq(queue.running(), 3U);
+}
+
+// Guards against a lookup with a short target waiting behind calls that have more time.
+Test(run_queue, starts_requests_in_the_order_in_which_their_targets_run_out)
+{
+    run_queue queue(1);
+    teach(queue);
+    queue.offer(offer_of(1, 300, 700, start, true), start);
+    queue.offer(offer_of(2, 300, 700, start, true), start);
+    queue.offer(offer_of(3, 150, 600, start), start);
+    const auto moves = queue.finish(run_number(1), start + milliseconds{20});
+    cr_assert_eq(moves.start.size(), 1U);
+    cr_expect_eq(moves.start[0].get(), 3U);
+}
+
+// Guards against a client being held until it gives up: what cannot start soon is told so
+// at once, so that another server or a return later can serve it.
+Test(run_queue, turns_a_client_away_at_once_when_the_wait_is_too_long)
+{
+    run_queue queue(1);
+    teach(queue);
+    unsigned waiting = 0;
+    for (std::uint64_t i = 1; i <= 8; ++i)
+    {
+        const auto decision = queue.offer(offer_of(i, 150, 600, start), start);
+        waiting += std::holds_alternative<run_waits>(decision) ? 1 : 0;
+    }
+    // A third of 150 ms is two slot times of 20 ms.
+    cr_expect_eq(waiting, 2U);
+    const auto call = queue.offer(offer_of(10, 150, 600, start, true), start);
+    cr_expect(std::holds_alternative<run_waits>(call));
+}
+
+// Guards against starting work that nobody waits for any more.
+Test(run_queue, drops_what_cannot_end_in_time)
+{
+    run_queue queue(1);
+    teach(queue);
+    queue.offer(offer_of(1, 300, 700, start, true), start);
+    queue.offer(offer_of(2, 300, 100, start, true), start);
+    const auto moves = queue.poll(start + milliseconds{95});
+    cr_assert_eq(moves.drop.size(), 1U);
+    cr_expect_eq(moves.drop[0].get(), 2U);
+    const auto late = queue.offer(offer_of(3, 300, 5, start), start);
+    const auto* turned_away = std::get_if<run_turned_away>(&late);
+    cr_assert(turned_away);
+    cr_expect(turned_away->no_time);
+}
+
+// Guards against a slot being lost when a client leaves.
+Test(run_queue, frees_the_slot_of_a_cancelled_request)
+{
+    run_queue queue(1);
+    queue.offer(offer_of(1, 300, 700, start, true), start);
+    queue.offer(offer_of(2, 300, 700, start, true), start);
+    const auto moves = queue.cancel(run_number(1), start);
+    cr_assert_eq(moves.start.size(), 1U);
+    cr_expect_eq(moves.start[0].get(), 2U);
+    queue.cancel(run_number(2), start);
+    cr_expect_eq(queue.running(), 0U);
+}
+
+// Plays a server with 27 slots of 22 ms at 1.3 times its capacity for 5 s: lookups
+// (priority of their targets) beside calls. Callers of lookups must be served, and what
+// is served must end in time.
+Test(run_queue, serves_lookups_in_time_beside_an_overload_of_calls)
+{
+    constexpr int slots = 27;
+    constexpr int slot_ms = 22;
+    constexpr double calls_per_ms = 1.3 * slots / slot_ms;
+    constexpr double lookups_per_ms = 0.06;
+    run_queue queue(slots);
+    random_engine random(11);
+    std::uniform_real_distribution<double> chance(0, 1);
+    std::map<std::uint64_t, time_point> arrivals;
+    std::map<time_point, std::vector<run_number>> ends;
+    std::uint64_t next = 0;
+    unsigned lookups = 0;
+    unsigned lookups_in_time = 0;
+    const auto started = [&](run_number number, time_point now)
+    {
+        ends[now + milliseconds{slot_ms}].push_back(number);
+    };
+    for (int ms = 0; ms < 5'000; ++ms)
+    {
+        const auto now = start + milliseconds{ms};
+        for (const auto number : ends[now])
+        {
+            if (const auto lookup = arrivals.find(number.get()); lookup != arrivals.end())
+                lookups_in_time += now - lookup->second <= milliseconds{150} ? 1 : 0;
+            for (const auto begun : queue.finish(number, now).start)
+                started(begun, now);
+        }
+        const auto offer = [&](bool is_call)
+        {
+            const auto run = is_call ? offer_of(++next, 300, 700, now, true)
+                                     : offer_of(++next, 150, 600, now);
+            if (!is_call)
+            {
+                ++lookups;
+                arrivals[next] = now;
+            }
+            if (std::holds_alternative<run_started>(queue.offer(run, now)))
+                started(run.number, now);
+        };
+        for (double left = calls_per_ms; left > 0; --left)
+            if (left >= 1 || chance(random) < left)
+                offer(true);
+        if (chance(random) < lookups_per_ms)
+            offer(false);
+        for (const auto begun : queue.poll(now).start)
+            started(begun, now);
+    }
+    cr_expect_gt(lookups_in_time, lookups * 0.8, "%u of %u", lookups_in_time, lookups);
+}
--- /dev/null
+++ b/src/gateway/server_tracker_test.cpp
@@ -0,0 +1,139 @@
+#include <criterion/criterion.h>
+
+#include "fescueridge/gateway/crash_suspects.hpp"
+#include "fescueridge/gateway/server_tracker.hpp"
+
+using namespace fescueridge;
+using namespace fescueridge::gateway;
+
+namespace
+{
+
+const time_point start{milliseconds{1'000'000}};
+constexpr milliseconds interval{1'500};
+
+server_heartbeat beat(const std::string& id, std::int64_t born, std::uint64_t sequence,
+                      server_state state = server_state::ready)
+{
+    server_heartbeat heartbeat;
+    heartbeat.server.id = instance_id(id);
+    heartbeat.server.service = service_name("tills");
+    heartbeat.server.slots = slot_count(29);
+    heartbeat.server.state = state;
+    heartbeat.server.born_ms = born;
+    heartbeat.server.sequence = sequence;
+    return heartbeat;
+}
+
+} // namespace
+
+Test(server_tracker, accepts_an_announced_server_until_it_leaves)
+{
+    server_tracker tracker(interval);
+    cr_expect(!tracker.accepts());
+    cr_expect(tracker.on_heartbeat(beat("a", 10, 1), start) == server_change::started);
+    cr_expect(tracker.accepts());
+    cr_expect(tracker.on_heartbeat(beat("a", 10, 2, server_state::draining), start) ==
+              server_change::leaving);
+    cr_expect(!tracker.accepts());
+}
+
+// Guards against a late heartbeat that undoes an acknowledged departure.
+Test(server_tracker, does_not_bring_a_leaving_server_back_by_late_heartbeats)
+{
+    server_tracker tracker(interval);
+    tracker.on_heartbeat(beat("a", 10, 1), start);
+    tracker.on_heartbeat(beat("a", 10, 5, server_state::draining), start);
+    cr_expect(tracker.on_heartbeat(beat("a", 10, 4), start) == server_change::stale);
+    tracker.on_heartbeat(beat("a", 10, 6), start);
+    cr_expect(!tracker.accepts());
+    cr_expect(tracker.on_departure({instance_id("a"), 10}, start) ==
+              server_change::leaving);
+    cr_expect(tracker.on_heartbeat(beat("a", 10, 7), start) == server_change::stale);
+    cr_expect(!tracker.accepts());
+}
+
+// Guards against a heartbeat of an earlier start at the same address.
+Test(server_tracker, takes_the_latest_start_only)
+{
+    server_tracker tracker(interval);
+    tracker.on_heartbeat(beat("b", 20, 1), start);
+    cr_expect(tracker.on_heartbeat(beat("a", 10, 9), start) == server_change::stale);
+    cr_expect_str_eq(tracker.server()->id.get().c_str(), "b");
+    cr_expect(tracker.on_departure({instance_id("a"), 10}, start) ==
+              server_change::stale);
+    cr_expect(tracker.accepts());
+}
+
+// Guards against a server that starts again under its old id being taken for the old one.
+Test(server_tracker, knows_a_new_start_under_the_same_id)
+{
+    server_tracker tracker(interval);
+    tracker.on_heartbeat(beat("a", 10, 7), start);
+    tracker.on_departure({instance_id("a"), 10}, start);
+    cr_expect(tracker.on_heartbeat(beat("a", 30, 1), start) == server_change::started);
+    cr_expect(tracker.accepts());
+}
+
+// Guards against a restarted node that serves what its predecessor acknowledged as
+// leaving.
+Test(server_tracker, takes_the_memory_of_a_peer_after_a_restart)
+{
+    server_tracker tracker(interval);
+    tracker.on_memory_of_peer(beat("a", 10, 5, server_state::gone).server);
+    cr_expect(tracker.on_heartbeat(beat("a", 10, 4), start) == server_change::stale);
+    cr_expect(!tracker.accepts());
+    cr_expect(tracker.on_heartbeat(beat("c", 40, 1), start) == server_change::started);
+    tracker.on_memory_of_peer(beat("a", 10, 5, server_state::gone).server);
+    cr_expect(tracker.accepts());
+}
+
+// Guards against a silent server keeping its requests until their deadlines.
+Test(server_tracker, suspects_a_server_without_heartbeats_and_recovers)
+{
+    server_tracker tracker(interval);
+    tracker.on_heartbeat(beat("a", 10, 1), start);
+    cr_expect(tracker.poll(start + 3 * interval) == server_change::none);
+    cr_expect(tracker.poll(start + 5 * interval) == server_change::suspected);
+    cr_expect(!tracker.accepts());
+    cr_expect(tracker.on_healthy(instance_id("a"), service_name("tills"), slot_count(16),
+                                 start) == server_change::recovered);
+    cr_expect(tracker.accepts());
+}
+
+// Guards against a request that crashes every server that runs it.
+Test(crash_suspects, quarantines_a_request_that_was_running_at_three_crashes)
+{
+    crash_suspects suspects;
+    const fingerprint poison(1);
+    const fingerprint other(2);
+    for (std::uint64_t crash = 1; crash <= 3; ++crash)
+    {
+        const auto now = start + milliseconds{5'000} * static_cast<int>(crash);
+        cr_expect(!suspects.quarantined(poison, now));
+        suspects.on_cut(poison, now);
+        if (crash == 2)
+            suspects.on_cut(other, now);
+        cr_expect_eq(suspects.on_crash(crash, now + milliseconds{3'000}).size(),
+                     crash == 2 ? 2U : 1U);
+    }
+    const auto now = start + milliseconds{20'000};
+    cr_expect(suspects.quarantined(poison, now));
+    cr_expect(!suspects.quarantined(other, now));
+    cr_expect(!suspects.quarantined(poison, now + crash_suspects::memory * 2));
+}
+
+// Guards against a request being quarantined for crashes that others cause.
+Test(crash_suspects, clears_a_request_after_a_completed_run)
+{
+    crash_suspects suspects;
+    const fingerprint innocent(3);
+    for (std::uint64_t crash = 1; crash <= 5; ++crash)
+    {
+        suspects.on_suspect({innocent, crash}, start);
+        if (crash == 2)
+            suspects.on_completed(innocent);
+        if (crash < 5)
+            cr_expect(!suspects.quarantined(innocent, start));
+    }
+}
--- a/src/include/fescueridge/codec/gateway_messages.hpp
+++ b/src/include/fescueridge/codec/gateway_messages.hpp
@@ -104,13 +104,18 @@
     std::uint64_t sequence = 0; ///< Grows with each announcement of one start.
 };
 
-/// Requests per second of a route that clients sent to a node, and how long a request
-/// of the route holds a slot at its backend server.
-struct route_load
+/// Requests per second of a route that begin at a node.
+struct route_arrivals
 {
     route_name route;
-    double arrivals_per_s = 0;
-    double slot_ms = 0; ///< 0: not measured by this node.
+    double per_s = 0;
+};
+
+/// How long a request of a route holds a slot at the backend server beside a node.
+struct route_slot_time
+{
+    route_name route;
+    double ms = 0;
 };
 
 /// How often a run of one route calls another route.
@@ -131,7 +136,10 @@
     std::uint32_t limit = 0;  ///< Requests that it lets run at the same time.
     double queue_wait_ms = 0; ///< Mean wait for a slot, of late.
     double service_ms = 0;    ///< Mean time at the server, of late.
-    std::vector<route_load> routes;
+    std::vector<route_arrivals> arrivals;
+    /// The rest changes slowly: only some reports carry it.
+    bool with_learned = false;
+    std::vector<route_slot_time> slot_times;
     std::vector<call_edge> calls;
 };
 
--- a/src/include/fescueridge/gateway/entry_port.hpp
+++ b/src/include/fescueridge/gateway/entry_port.hpp
@@ -62,7 +62,7 @@
     const std::vector<call_edge>& calls() const noexcept { return edges_; }
 
     /// Returns the arrivals of requests for each route, for reports.
-    std::vector<route_load> arrivals() const;
+    std::vector<route_arrivals> arrivals() const;
 
     std::size_t open_requests() const noexcept { return requests_.size(); }
     const entry_counters& counters() const noexcept { return counters_; }
--- a/src/include/fescueridge/gateway/peers.hpp
+++ b/src/include/fescueridge/gateway/peers.hpp
@@ -77,6 +77,9 @@
     /// Tells the peer that the client has left. `done` of the request is not called.
     void cancel(std::uint64_t number);
 
+    /// Tells whether the link to a peer is broken or may be.
+    static bool is_doubtful(const peer& other);
+
     /// Sends a message to every linked peer.
     void broadcast(const link_message& message);
 
--- a/src/include/fescueridge/gateway/retry_share.hpp
+++ b/src/include/fescueridge/gateway/retry_share.hpp
@@ -11,7 +11,7 @@
 {
 
 /// This node's share of the budget for repeated requests that all nodes share. Each node
-/// may spend half of the budget's ratio of its own requests, and its even part of half of
+/// may spend most of the budget's ratio of its own requests, and its even part of most of
 /// the slack in each window, so that the sum holds also when nodes cannot talk.
 class retry_share
 {
@@ -28,9 +28,11 @@
     void on_request(const service_name& service, time_point now);
 
     /// Takes a repeat from the budget: one at the service, and `downstream` at the
-    /// services that the repeated run calls. False when one of them has none left.
+    /// services that the repeated run calls. False when one of them has too little left;
+    /// calls of running requests leave a part to requests of clients.
     bool try_spend(const service_name& service,
-                   const std::map<service_name, double>& downstream, time_point now);
+                   const std::map<service_name, double>& downstream, bool for_client,
+                   time_point now);
 
 private:
     struct bucket
@@ -41,6 +43,7 @@
 
     bucket& fill(const service_name& service, time_point now);
     double part_of_slack() const;
+    double most_tokens() const;
 
     double ratio_;
     double slack_;
--- a/src/include/fescueridge/gateway/run_executor.hpp
+++ b/src/include/fescueridge/gateway/run_executor.hpp
@@ -86,15 +86,13 @@
     /// Fills in what this node reports about its server.
     void fill_report(node_report_message& report) const;
 
-    /// Adds how long requests of each route hold a slot.
-    void add_slot_times(node_report_message& report) const;
+    /// Adds what was learned: how long requests of each route hold a slot, and the calls
+    /// of the server.
+    void add_learned(node_report_message& report) const;
 
     /// Takes what another process has learned of calls.
     void remember_calls(const std::vector<call_edge>& edges) { graph_.remember(edges); }
 
-    /// Returns what was learned of the calls of the server.
-    std::vector<call_edge> learned_calls() const { return graph_.edges(); }
-
     void fade_graph() { graph_.fade(); }
 
     const executor_counters& counters() const noexcept { return counters_; }
--- a/src/include/fescueridge/gateway/run_queue.hpp
+++ b/src/include/fescueridge/gateway/run_queue.hpp
@@ -48,8 +48,11 @@
 /// others for a short time.
 ///
 /// Load that it answers: bursts over the capacity of a server that never answers a
-/// request beyond its own queue. Requests start in the order in which their target
-/// latencies run out. A client's request is turned away as soon as its wait would use up
+/// request beyond its own queue. While both wait, requests of clients and calls of
+/// running requests start by turns, so that neither holds up the other for long: an
+/// overload of calls has a long queue, in which a client would always be late. Within
+/// each kind, requests start in the order in which their target latencies run out. A
+/// client's request is turned away as soon as its wait would use up
 /// a third of its target latency, since another server or a return later serves it
 /// better. A call of a request that already runs may wait as long as its deadline allows,
 /// because turning it away wastes the work above it.
@@ -81,7 +84,7 @@
     }
     std::uint32_t waiting() const noexcept
     {
-        return static_cast<std::uint32_t>(waiting_.size());
+        return static_cast<std::uint32_t>(clients_.size() + calls_.size());
     }
 
     /// Mean time in a slot, in milliseconds; 0 when nothing was measured.
@@ -111,18 +114,28 @@
         time_point since;
     };
     using order_key = std::pair<time_point, std::uint64_t>;
+    using lane = std::map<order_key, waiting_run>;
+    struct place
+    {
+        lane* in = nullptr;
+        order_key key;
+    };
 
     double expected_wait_ms(const run_offer& run, time_point now) const;
     double expected_slot_ms(const route_name& route) const;
     bool has_waited_too_long(const waiting_run& run, time_point now) const;
     void start(const run_offer& run, time_point arrival, time_point now);
     void fill(time_point now, queue_moves& moves);
+    waiting_run take_next();
+    void drop_late(lane& from, time_point now, queue_moves& moves);
     void record_wait(double ms, time_point now);
 
     std::uint32_t limit_;
     std::uint64_t next_order_ = 0;
-    std::map<order_key, waiting_run> waiting_;
-    std::unordered_map<run_number, order_key> places_;
+    lane clients_; ///< Waiting requests of clients.
+    lane calls_;   ///< Waiting calls of running requests.
+    bool client_is_next_ = true;
+    std::unordered_map<run_number, place> places_;
     std::unordered_map<run_number, running_run> running_;
     std::unordered_map<route_name, double> slot_ms_by_route_;
     double slot_ms_ = 0;
--- a/src/include/fescueridge/transport/link_hub.hpp
+++ b/src/include/fescueridge/transport/link_hub.hpp
@@ -50,6 +50,9 @@
     /// Tells whether this side opened the link.
     virtual bool dialled() const noexcept = 0;
 
+    /// Returns the time since something was received.
+    virtual milliseconds silent_for() const = 0;
+
     /// Tells whether the link can still send.
     virtual bool is_open() const noexcept = 0;
 
--- a/src/transport/link_impl.hpp
+++ b/src/transport/link_impl.hpp
@@ -35,6 +35,10 @@
     endpoint remote() const override { return remote_; }
     bool dialled() const noexcept override { return dialled_; }
     bool is_open() const noexcept override { return state_ == state::open; }
+    milliseconds silent_for() const override
+    {
+        return clock::now() - last_received_.load();
+    }
     void close() override { end_soon({}); }
 
     void attach();
--- a/src/transport/server_connection.cpp
+++ b/src/transport/server_connection.cpp
@@ -1,5 +1,6 @@
 #include "server_connection.hpp"
 
+#include <array>
 #include <utility>
 
 namespace fescueridge::detail
@@ -7,6 +8,8 @@
 namespace
 {
 
+constexpr std::size_t read_size = std::size_t{16} * 1024;
+
 /// How long a closing connection still takes input, so that unread input does not reset
 /// the connection before the peer has read the answer.
 constexpr milliseconds linger_time{1000};
@@ -49,6 +52,7 @@
 {
     asio::error_code ec;
     socket_.set_option(asio::ip::tcp::no_delay(true), ec);
+    socket_.non_blocking(true, ec);
     peer_ = from_asio(socket_.remote_endpoint(ec));
     wait_for_request();
     read();
@@ -61,24 +65,29 @@
     if (reading_ || closed_ || ahead_.size() > max_header_bytes)
         return;
     reading_ = true;
-    socket_.async_read_some(asio::buffer(buffer_), [self = shared_from_this()](
-                                                       asio::error_code ec, std::size_t n)
-                            { self->on_read(ec, n); });
+    socket_.async_wait(strand_socket::wait_read,
+                       [self = shared_from_this()](asio::error_code ec)
+                       { self->on_readable(ec); });
 }
 
-void server_connection::on_read(asio::error_code ec, std::size_t size)
+// Idle connections hold no buffer: most connections are idle.
+void server_connection::on_readable(asio::error_code ec)
 {
+    thread_local std::array<char, read_size> buffer;
     reading_ = false;
     if (closed_)
         return;
+    const auto size = ec ? 0 : socket_.read_some(asio::buffer(buffer), ec);
+    if (ec == asio::error::would_block || ec == asio::error::try_again)
+        return read();
     if (ec)
         return lost();
     if (phase_ == read_phase::lingering)
         return read();
     if (may_hand_over() && ahead_.empty())
-        process(buffer_.data(), size);
+        process(buffer.data(), size);
     else
-        ahead_.append(buffer_.data(), size);
+        ahead_.append(buffer.data(), size);
     read();
 }
 
--- a/src/transport/server_connection.hpp
+++ b/src/transport/server_connection.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <array>
 #include <atomic>
 #include <deque>
 #include <functional>
@@ -17,8 +16,6 @@
 namespace fescueridge::detail
 {
 
-constexpr std::size_t server_read_size = 8192;
-
 class server_connection;
 
 class http_server_impl : public std::enable_shared_from_this<http_server_impl>
@@ -121,7 +118,7 @@
     };
 
     void read();
-    void on_read(asio::error_code ec, std::size_t size);
+    void on_readable(asio::error_code ec);
     void process(const char* data, std::size_t size);
     void process_ahead();
     bool may_hand_over() const;
@@ -146,7 +143,6 @@
     asio::steady_timer read_timer_;
     asio::steady_timer write_timer_;
     message_parser parser_;
-    std::array<char, server_read_size> buffer_{};
     std::string ahead_;
     std::string out_;
     std::deque<pending_ptr> pending_;
