Admit new requests before returned ones of a priority

Ruled out: admitting returned requests first. Change: a client that comes back has less time left than the route's usual full time; new requests get capacity before returned ones of their priority, as on the product's own interface (root classes).

--- a/src/codec/gateway_codec.cpp
+++ b/src/codec/gateway_codec.cpp
@@ -52,32 +52,56 @@
     return static_cast<double>(in.number<std::int64_t>()) / thousandths;
 }
 
-template <class Entry>
-std::vector<Entry> read_amounts(field_reader& in, double Entry::*amount)
+json to_array(const std::vector<route_arrivals>& entries)
 {
-    std::vector<Entry> entries;
+    json out = json::array();
+    for (const auto& entry : entries)
+        out.push_back(
+            json::array({to_binary(entry.route.get()), to_thousandths(entry.new_per_s),
+                         to_thousandths(entry.returned_per_s)}));
+    return out;
+}
+
+std::vector<route_arrivals> read_arrivals(field_reader& in)
+{
+    std::vector<route_arrivals> entries;
     for (const json& entry : in.array(1))
     {
         field_reader fields(entry);
-        Entry read;
+        route_arrivals read;
         read.route = route_name(fields.text());
-        read.*amount = from_thousandths(fields);
+        read.new_per_s = from_thousandths(fields);
+        read.returned_per_s = from_thousandths(fields);
         fields.expect_end();
         entries.push_back(std::move(read));
     }
     return entries;
 }
 
-template <class Entry>
-json to_array(const std::vector<Entry>& entries, double Entry::*amount)
+json to_array(const std::vector<route_slot_time>& entries)
 {
     json out = json::array();
-    for (const Entry& entry : entries)
+    for (const auto& entry : entries)
         out.push_back(
-            json::array({to_binary(entry.route.get()), to_thousandths(entry.*amount)}));
+            json::array({to_binary(entry.route.get()), to_thousandths(entry.ms)}));
     return out;
 }
 
+std::vector<route_slot_time> read_slot_times(field_reader& in)
+{
+    std::vector<route_slot_time> entries;
+    for (const json& entry : in.array(1))
+    {
+        field_reader fields(entry);
+        route_slot_time read;
+        read.route = route_name(fields.text());
+        read.ms = from_thousandths(fields);
+        fields.expect_end();
+        entries.push_back(std::move(read));
+    }
+    return entries;
+}
+
 std::vector<call_edge> read_calls(field_reader& in)
 {
     std::vector<call_edge> calls;
@@ -177,9 +201,8 @@
         servers.push_back(to_array(*m.server));
     append(out, m.version.get(), std::move(servers), m.accepting ? 1 : 0, m.load.running,
            m.load.waiting, m.limit, to_thousandths(m.queue_wait_ms),
-           to_thousandths(m.service_ms), to_array(m.arrivals, &route_arrivals::per_s),
-           m.with_learned ? 1 : 0, to_array(m.slot_times, &route_slot_time::ms),
-           std::move(calls));
+           to_thousandths(m.service_ms), to_array(m.arrivals), m.with_learned ? 1 : 0,
+           to_array(m.slot_times), std::move(calls));
 }
 
 node_report_message read_node_report(field_reader& in)
@@ -193,9 +216,9 @@
     m.limit = in.number<std::uint32_t>(0, max_32);
     m.queue_wait_ms = from_thousandths(in);
     m.service_ms = from_thousandths(in);
-    m.arrivals = read_amounts(in, &route_arrivals::per_s);
+    m.arrivals = read_arrivals(in);
     m.with_learned = in.number<int>(0, 1) == 1;
-    m.slot_times = read_amounts(in, &route_slot_time::ms);
+    m.slot_times = read_slot_times(in);
     m.calls = read_calls(in);
     return m;
 }
--- a/src/gateway/admission_plan.cpp
+++ b/src/gateway/admission_plan.cpp
@@ -9,8 +9,14 @@
 
 using demand_range = std::pair<std::size_t, std::size_t>;
 
+/// Returns the place of a class in the order in which capacity is given out.
+std::pair<priority, bool> order_of(const class_demand& demand)
+{
+    return {demand.rank, demand.of.returned};
+}
+
 /// Returns how much of the group's need each service can still give, 0 to 1.
-std::map<service_name, double> coverage(const std::vector<route_demand>& demands,
+std::map<service_name, double> coverage(const std::vector<class_demand>& demands,
                                         const demand_range& group,
                                         const service_capacity& left)
 {
@@ -28,8 +34,8 @@
     return covered;
 }
 
-void admit_group(const std::vector<route_demand>& demands, const demand_range& group,
-                 service_capacity& left, std::map<route_name, double>& shares)
+void admit_group(const std::vector<class_demand>& demands, const demand_range& group,
+                 service_capacity& left, class_shares& shares)
 {
     const auto covered = coverage(demands, group, left);
     for (std::size_t i = group.first; i < group.second; ++i)
@@ -41,7 +47,7 @@
             if (ms > 0 && found != covered.end())
                 share = std::min(share, found->second);
         }
-        shares[demands[i].route] = share;
+        shares[demands[i].of] = share;
         for (const auto& [service, ms] : demands[i].costs)
         {
             const auto capacity = left.find(service);
@@ -54,17 +60,17 @@
 
 } // namespace
 
-std::map<route_name, double> admitted_shares(std::vector<route_demand> demands,
-                                             service_capacity capacity)
+class_shares admitted_shares(std::vector<class_demand> demands, service_capacity capacity)
 {
     std::stable_sort(demands.begin(), demands.end(),
-                     [](const route_demand& a, const route_demand& b)
-                     { return a.rank < b.rank; });
-    std::map<route_name, double> shares;
+                     [](const class_demand& a, const class_demand& b)
+                     { return order_of(a) < order_of(b); });
+    class_shares shares;
     for (std::size_t first = 0; first < demands.size();)
     {
         std::size_t last = first;
-        while (last < demands.size() && demands[last].rank == demands[first].rank)
+        while (last < demands.size() &&
+               order_of(demands[last]) == order_of(demands[first]))
             ++last;
         admit_group(demands, {first, last}, capacity, shares);
         first = last;
@@ -72,18 +78,18 @@
     return shares;
 }
 
-double request_thinner::share(const route_name& route) const
+double request_thinner::share(const admission_class& of) const
 {
-    const auto found = shares_.find(route);
+    const auto found = shares_.find(of);
     return found == shares_.end() ? 1 : found->second;
 }
 
-bool request_thinner::admit(const route_name& route)
+bool request_thinner::admit(const admission_class& of)
 {
-    const double admitted = share(route);
+    const double admitted = share(of);
     if (admitted >= 1)
         return true;
-    double& credit = credit_[route];
+    double& credit = credit_[of];
     credit += admitted;
     if (credit < 1)
         return false;
--- a/src/gateway/admission_plan_test.cpp
+++ b/src/gateway/admission_plan_test.cpp
@@ -14,13 +14,17 @@
 const route_name push("push");
 const route_name lookup("lookup");
 
-route_demand demand(const route_name& route, int rank, double per_s, service_costs costs)
+class_demand demand(const route_name& route, int rank, double per_s, service_costs costs,
+                    bool returned = false)
 {
-    return {route, priority(static_cast<std::uint8_t>(rank)), per_s, std::move(costs)};
+    return {{route, returned},
+            priority(static_cast<std::uint8_t>(rank)),
+            per_s,
+            std::move(costs)};
 }
 
 /// The surge of a Saturday: browsing asks the tills for 88 ms a request, pushes for 176.
-std::vector<route_demand> surge()
+std::vector<class_demand> surge()
 {
     return {demand(browse, 2, 900, {{menu, 100}, {tills, 88}}),
             demand(push, 0, 390, {{tills, 176}}), demand(lookup, 1, 320, {{tills, 36}})};
@@ -31,8 +35,8 @@
 Test(admission_plan, admits_everything_below_the_capacity)
 {
     const auto shares = admitted_shares(surge(), {{menu, 900'000}, {tills, 200'000}});
-    for (const auto& [route, share] : shares)
-        cr_expect_eq(share, 1, "%s", route.get().c_str());
+    for (const auto& [of, share] : shares)
+        cr_expect_eq(share, 1, "%s", of.route.get().c_str());
 }
 
 // Guards against important requests being refused for less important ones that happen to
@@ -40,10 +44,24 @@
 Test(admission_plan, gives_the_capacity_to_the_most_important_routes_first)
 {
     const auto shares = admitted_shares(surge(), {{menu, 900'000}, {tills, 108'000}});
-    cr_expect_eq(shares.at(push), 1);
-    cr_expect_eq(shares.at(lookup), 1);
+    cr_expect_eq(shares.at({push, false}), 1);
+    cr_expect_eq(shares.at({lookup, false}), 1);
     const double left = 108'000 - 390 * 176 - 320 * 36;
-    cr_expect_float_eq(shares.at(browse), left / (900 * 88), 1e-9);
+    cr_expect_float_eq(shares.at({browse, false}), left / (900 * 88), 1e-9);
+}
+
+// Guards against capacity going to callers whose answer is late already while new ones
+// are refused, who then come back late in turn.
+Test(admission_plan, admits_new_requests_before_returned_ones_of_a_priority)
+{
+    auto demands = surge();
+    demands.push_back(demand(browse, 2, 600, {{menu, 100}, {tills, 88}}, true));
+    demands.push_back(demand(push, 0, 100, {{tills, 176}}, true));
+    const auto shares = admitted_shares(demands, {{menu, 900'000}, {tills, 150'000}});
+    const double left = 150'000 - 490 * 176 - 320 * 36;
+    cr_expect_eq(shares.at({push, true}), 1);
+    cr_expect_float_eq(shares.at({browse, false}), left / (900 * 88), 1e-9);
+    cr_expect_float_eq(shares.at({browse, true}), 0, 1e-9);
 }
 
 // Guards against refusing routes that do not need the service that is short.
@@ -53,9 +71,9 @@
     const route_name publish("publish");
     demands.push_back(demand(publish, 3, 100, {{menu, 60}}));
     const auto shares = admitted_shares(demands, {{menu, 900'000}, {tills, 50'000}});
-    cr_expect_eq(shares.at(publish), 1);
-    cr_expect_eq(shares.at(browse), 0);
-    cr_expect_lt(shares.at(push), 1);
+    cr_expect_eq(shares.at({publish, false}), 1);
+    cr_expect_eq(shares.at({browse, false}), 0);
+    cr_expect_lt(shares.at({push, false}), 1);
 }
 
 // Guards against a service without any known capacity closing all routes: nothing is
@@ -63,25 +81,25 @@
 Test(admission_plan, does_not_limit_by_a_service_that_nobody_reports)
 {
     const auto shares = admitted_shares(surge(), {{menu, 900'000}});
-    cr_expect_eq(shares.at(browse), 1);
+    cr_expect_eq(shares.at({browse, false}), 1);
 }
 
 // Guards against shares that come in bursts: every second one of 0.5, not ten in a row.
 Test(request_thinner, spreads_what_it_admits)
 {
     request_thinner thinner;
-    thinner.set_shares({{browse, 0.5}});
+    thinner.set_shares({{{browse, false}, 0.5}});
     int admitted = 0;
     int run_length = 0;
     for (int i = 0; i < 100; ++i)
     {
-        const bool now = thinner.admit(browse);
+        const bool now = thinner.admit({browse, false});
         admitted += now ? 1 : 0;
         run_length = now ? run_length + 1 : 0;
         cr_expect_leq(run_length, 1);
     }
     cr_expect_eq(admitted, 50);
-    cr_expect(thinner.admit(lookup));
+    cr_expect(thinner.admit({lookup, false}));
 }
 
 // Guards against the correction swinging: one bad second changes it by a tenth at most.
--- a/src/gateway/decision_log.cpp
+++ b/src/gateway/decision_log.cpp
@@ -85,7 +85,7 @@
     return "node_started";
 }
 
-decision_log::decision_log(asio::io_context& io, node_id node)
+decision_log::decision_log(asio::io_context& io, const node_id& node)
     : node_(node.get()), timer_(io)
 {
 }
@@ -122,7 +122,7 @@
     return wanted;
 }
 
-void decision_log::record(log_event event, std::vector<event_field> fields,
+void decision_log::record(log_event event, const std::vector<event_field>& fields,
                           log_weight weight)
 {
     if (buffer_.size() > max_buffer)
--- a/src/gateway/entry_port.cpp
+++ b/src/gateway/entry_port.cpp
@@ -65,6 +65,8 @@
     std::uint64_t forwarded = 0; ///< Number at the peers; 0 for none.
     run_number local_run;
     bool ended = false;
+
+    admission_class admitted_as() const { return {message.route, returned}; }
 };
 
 entry_port::entry_port(asio::io_context& io, const node_settings& settings,
@@ -148,7 +150,10 @@
 bool entry_port::may_begin(const request_ptr& request)
 {
     const auto& message = request->message;
-    count_arrival(message.route);
+    request->returned =
+        !message.from_server &&
+        returns_.is_returned(message.route, request->client_deadline - request->arrival);
+    count_arrival(request->admitted_as());
     if (message.from_server)
     {
         ++counters_.calls_of_server;
@@ -156,12 +161,12 @@
                                     request->client_deadline - request->arrival);
         return true;
     }
-    return thinner_.admit(message.route);
+    return thinner_.admit(request->admitted_as());
 }
 
-void entry_port::count_arrival(const route_name& route)
+void entry_port::count_arrival(const admission_class& of)
 {
-    ++arrivals_[route].count;
+    ++arrivals_[of].count;
 }
 
 placement_candidate entry_port::own_candidate() const
@@ -325,7 +330,7 @@
     const auto now = clock::now();
     const bool may_repeat = message.repeat == repeat_rule::idempotent &&
                             request->sends < request->way->max_servers &&
-                            thinner_.share(message.route) >= 1;
+                            thinner_.share(request->admitted_as()) >= 1;
     // A repeat that cannot end in time would only add load.
     const bool in_time = request->answer_by - now > message.target_latency / 4;
     if (!may_repeat || !in_time || candidates(*request).empty() ||
@@ -381,7 +386,7 @@
     const auto left =
         static_cast<double>((request.client_deadline - clock::now()).count());
     const double longest = usable_wait_share * left;
-    const bool soon = thinner_.share(request.message.route) >= slight_overload_share;
+    const bool soon = thinner_.share(request.admitted_as()) >= slight_overload_share;
     std::uniform_real_distribution<double> part(soon ? soon_return_from
                                                      : late_return_from,
                                                 soon ? soon_return_to : late_return_to);
@@ -455,7 +460,8 @@
         {"server_node", request.at.get()},
         {"sends", std::int64_t{request.sends}},
         {"placements", std::int64_t{request.placements}},
-        {"share", thinner_.share(message.route)}};
+        {"share", thinner_.share(request.admitted_as())},
+        {"returned", request.returned}};
     if (const auto known = peers_.all().find(request.at); known != peers_.all().end())
         fields.push_back({"report_age_ms", static_cast<std::int64_t>(
                                                (now - known->second.reported).count())});
@@ -467,11 +473,19 @@
 std::vector<route_arrivals> entry_port::arrivals() const
 {
     constexpr double least_rate = 0.05;
-    std::vector<route_arrivals> loads;
-    for (const auto& [route, meter] : arrivals_)
-        if (meter.per_s > least_rate)
-            loads.push_back({route, meter.per_s});
-    return loads;
+    std::map<route_name, route_arrivals> by_route;
+    for (const auto& [of, meter] : arrivals_)
+    {
+        if (meter.per_s <= least_rate)
+            continue;
+        auto& sums = by_route[of.route];
+        sums.route = of.route;
+        (of.returned ? sums.returned_per_s : sums.new_per_s) = meter.per_s;
+    }
+    std::vector<route_arrivals> result;
+    for (auto& [route, sums] : by_route)
+        result.push_back(std::move(sums));
+    return result;
 }
 
 } // namespace fescueridge::gateway
--- a/src/gateway/entry_shares.cpp
+++ b/src/gateway/entry_shares.cpp
@@ -18,16 +18,16 @@
 
 } // namespace
 
-void entry_port::log_shares(const std::vector<route_demand>& demands,
-                            const service_capacity& capacity,
-                            const std::map<route_name, double>& shares)
+void entry_port::log_shares(const std::vector<class_demand>& demands,
+                            const service_capacity& capacity, const class_shares& shares)
 {
     std::string routes;
     std::map<service_name, double> need;
     for (const auto& demand : demands)
     {
-        routes += fmt::format("{} {:.1f}/s {:.2f}; ", demand.route.get(),
-                              demand.arrivals_per_s, shares.at(demand.route));
+        routes += fmt::format("{}{} {:.1f}/s {:.2f}; ", demand.of.route.get(),
+                              demand.of.returned ? " returned" : "",
+                              demand.arrivals_per_s, shares.at(demand.of));
         for (const auto& [service, ms] : demand.costs)
             need[service] += demand.arrivals_per_s * ms;
     }
@@ -77,7 +77,7 @@
     last_update_ = now;
     if (seconds <= 0 || !table_)
         return;
-    for (auto& [route, meter] : arrivals_)
+    for (auto& [of, meter] : arrivals_)
     {
         meter.per_s += arrival_weight * (meter.count / seconds - meter.per_s);
         meter.count = 0;
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -17,7 +17,10 @@
     if (now_ - reported > report_lifetime)
         return;
     for (const auto& route : report.arrivals)
-        arrivals_[route.route] += route.per_s;
+    {
+        arrivals_[{route.route, false}] += route.new_per_s;
+        arrivals_[{route.route, true}] += route.returned_per_s;
+    }
     // A faster server runs more of the requests.
     for (const auto& route : report.slot_times)
         if (route.ms > 0)
@@ -48,34 +51,42 @@
     return result;
 }
 
-std::vector<route_demand> fleet_view::demands(const std::set<route_name>& called) const
+std::vector<class_demand> fleet_view::demands(const std::set<route_name>& called) const
 {
     std::map<route_name, route_cost_input> inputs;
     for (const auto& route : table_.config().routes)
-    {
-        route_cost_input input;
-        double total = 0;
-        for (const auto& target : route.targets)
-            total += target.weight;
-        for (const auto& target : route.targets)
-            input.targets[target.service] += total > 0 ? target.weight / total : 0;
-        const auto slot = slot_ms_.find(route.name);
-        input.slot_ms = slot == slot_ms_.end() ? 0 : slot->second.value();
-        inputs.emplace(route.name, std::move(input));
-    }
+        inputs.emplace(route.name, cost_input_of(route));
     const auto costs = service_costs_of(inputs, edges());
-    std::vector<route_demand> result;
+    std::vector<class_demand> result;
     for (const auto& route : table_.config().routes)
     {
-        const auto arrivals = arrivals_.find(route.name);
-        const bool from_clients = called.count(route.name) == 0;
-        if (from_clients && arrivals != arrivals_.end() && arrivals->second > 0)
-            result.push_back(
-                {route.name, route.rank, arrivals->second, costs.at(route.name)});
+        if (called.count(route.name) != 0)
+            continue;
+        for (const bool returned : {false, true})
+        {
+            const admission_class of{route.name, returned};
+            const auto arrivals = arrivals_.find(of);
+            if (arrivals != arrivals_.end() && arrivals->second > 0)
+                result.push_back(
+                    {of, route.rank, arrivals->second, costs.at(route.name)});
+        }
     }
     return result;
 }
 
+route_cost_input fleet_view::cost_input_of(const route& of) const
+{
+    route_cost_input input;
+    double total = 0;
+    for (const auto& target : of.targets)
+        total += target.weight;
+    for (const auto& target : of.targets)
+        input.targets[target.service] += total > 0 ? target.weight / total : 0;
+    const auto slot = slot_ms_.find(of.name);
+    input.slot_ms = slot == slot_ms_.end() ? 0 : slot->second.value();
+    return input;
+}
+
 service_capacity fleet_view::capacity(std::map<service_name, capacity_trim>& trims) const
 {
     constexpr double ms_per_s = 1000;
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -28,8 +28,8 @@
     /// Returns how often runs of routes call other routes: the mean over the nodes.
     std::vector<call_edge> edges() const;
 
-    /// Returns the demand of clients for each route that is not `called` by servers.
-    std::vector<route_demand> demands(const std::set<route_name>& called) const;
+    /// Returns the demand of clients for the routes that are not `called` by servers.
+    std::vector<class_demand> demands(const std::set<route_name>& called) const;
 
     /// Returns the capacity of each service, corrected by what its queues show.
     service_capacity capacity(std::map<service_name, capacity_trim>& trims) const;
@@ -52,10 +52,12 @@
         mean wait_ms;
     };
 
+    route_cost_input cost_input_of(const route& of) const;
+
     const route_table& table_;
     time_point now_;
     std::vector<call_edge> remembered_;
-    std::map<route_name, double> arrivals_;
+    std::map<admission_class, double> arrivals_;
     std::map<route_name, mean> slot_ms_;
     std::map<route_name, double> observers_; ///< Nodes that know the calls of a route.
     std::map<std::pair<route_name, route_name>, double> calls_;
--- a/src/gateway/metrics_text.cpp
+++ b/src/gateway/metrics_text.cpp
@@ -42,9 +42,15 @@
     out.add("request_milliseconds", "quantile=\"0.99\"", latency.p99);
     for (const auto& load : entry.arrivals())
     {
-        const auto label = fmt::format("route=\"{}\"", load.route.get());
-        out.add("route_arrivals_per_second", label, load.per_s);
-        out.add("route_admitted_share", label, entry.shares().share(load.route));
+        for (const bool returned : {false, true})
+        {
+            const auto labels =
+                fmt::format("route=\"{}\",returned=\"{}\"", load.route.get(), returned);
+            out.add("route_arrivals_per_second", labels,
+                    returned ? load.returned_per_s : load.new_per_s);
+            out.add("route_admitted_share", labels,
+                    entry.shares().share({load.route, returned}));
+        }
     }
 }
 
--- a/src/gateway/origin_tracker.cpp
+++ b/src/gateway/origin_tracker.cpp
@@ -40,7 +40,8 @@
     const auto& service = report.server->service;
     ++nodes_[service];
     for (const auto& route : report.arrivals)
-        requests_[route.route][service] += route.per_s * seconds_;
+        requests_[route.route][service] +=
+            (route.new_per_s + route.returned_per_s) * seconds_;
 }
 
 void origin_tracker::end_update()
--- a/src/gateway/run_queue.cpp
+++ b/src/gateway/run_queue.cpp
@@ -127,7 +127,7 @@
     client_is_next_ = !client;
     lane& from = client ? clients_ : calls_;
     const auto first = from.begin();
-    const auto next = first->second;
+    auto next = std::move(first->second);
     from.erase(first);
     places_.erase(next.offer.number);
     return next;
--- a/src/include/fescueridge/codec/gateway_messages.hpp
+++ b/src/include/fescueridge/codec/gateway_messages.hpp
@@ -104,11 +104,13 @@
     std::uint64_t sequence = 0; ///< Grows with each announcement of one start.
 };
 
-/// Requests per second of a route that begin at a node.
+/// Requests per second of a route that begin at a node. Those of clients that come back
+/// after an attempt that failed are counted apart.
 struct route_arrivals
 {
     route_name route;
-    double per_s = 0;
+    double new_per_s = 0;
+    double returned_per_s = 0;
 };
 
 /// How long a request of a route holds a slot at the backend server beside a node.
--- a/src/include/fescueridge/gateway/admission_plan.hpp
+++ b/src/include/fescueridge/gateway/admission_plan.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <map>
-#include <unordered_map>
 #include <vector>
 
 #include "fescueridge/base/types.hpp"
@@ -10,10 +9,31 @@
 namespace fescueridge::gateway
 {
 
-/// Demand of clients for one route, over all nodes.
-struct route_demand
+/// Requests of one route that are admitted alike. A request that comes back after an
+/// attempt that failed is worth less to its caller than a new one, as its answer is late
+/// already, and asks for the same.
+struct admission_class
 {
     route_name route;
+    bool returned = false;
+
+    friend bool operator<(const admission_class& a, const admission_class& b)
+    {
+        return a.route != b.route ? a.route < b.route : a.returned < b.returned;
+    }
+    friend bool operator==(const admission_class& a, const admission_class& b)
+    {
+        return a.route == b.route && a.returned == b.returned;
+    }
+};
+
+/// Share of each class that may begin.
+using class_shares = std::map<admission_class, double>;
+
+/// Demand of clients for one class, over all nodes.
+struct class_demand
+{
+    admission_class of;
     priority rank;
     double arrivals_per_s = 0;
     service_costs costs;
@@ -22,30 +42,31 @@
 /// Slot time that a service can give, in milliseconds a second.
 using service_capacity = std::map<service_name, double>;
 
-/// Returns the share of each route's requests that may begin, so that no service along
-/// their calls is asked for more than its capacity. Capacity goes to the most important
-/// routes first; routes of one priority share what is left in proportion.
+/// Returns the share of each class that may begin, so that no service along its calls is
+/// asked for more than its capacity. Capacity goes to the most important priority first,
+/// within one priority to new requests before returned ones; classes of the same rank
+/// share what is left in proportion.
 ///
 /// Load that it answers: a surge in which a service deep in the graph runs out of slots,
 /// so that a refusal there wastes the work of everything above it.
-std::map<route_name, double> admitted_shares(std::vector<route_demand> demands,
-                                             service_capacity capacity);
+class_shares admitted_shares(std::vector<class_demand> demands,
+                             service_capacity capacity);
 
 /// Applies shares to single requests, evenly over time.
 class request_thinner
 {
 public:
-    void set_shares(std::map<route_name, double> shares) { shares_ = std::move(shares); }
+    void set_shares(class_shares shares) { shares_ = std::move(shares); }
 
-    /// Decides on the next request of a route.
-    bool admit(const route_name& route);
+    /// Decides on the next request of a class.
+    bool admit(const admission_class& of);
 
-    /// Returns the share of a route that is admitted, 1 when nothing is set.
-    double share(const route_name& route) const;
+    /// Returns the share of a class that is admitted, 1 when nothing is set.
+    double share(const admission_class& of) const;
 
 private:
-    std::map<route_name, double> shares_;
-    std::unordered_map<route_name, double> credit_;
+    class_shares shares_;
+    std::map<admission_class, double> credit_;
 };
 
 /// Corrects the capacity of a service by what its queues show: measured slot times lag
--- a/src/include/fescueridge/gateway/decision_log.hpp
+++ b/src/include/fescueridge/gateway/decision_log.hpp
@@ -57,10 +57,10 @@
 class decision_log
 {
 public:
-    decision_log(asio::io_context& io, node_id node);
+    decision_log(asio::io_context& io, const node_id& node);
 
     /// Sets the fields that every line gets besides time, node and event.
-    void record(log_event event, std::vector<event_field> fields = {},
+    void record(log_event event, const std::vector<event_field>& fields = {},
                 log_weight weight = log_weight::always);
 
     /// Tells whether a line of this weight about this request would be written, so that
--- a/src/include/fescueridge/gateway/entry_port.hpp
+++ b/src/include/fescueridge/gateway/entry_port.hpp
@@ -13,6 +13,7 @@
 #include "fescueridge/gateway/peers.hpp"
 #include "fescueridge/gateway/placement.hpp"
 #include "fescueridge/gateway/retry_share.hpp"
+#include "fescueridge/gateway/return_detector.hpp"
 #include "fescueridge/gateway/run_executor.hpp"
 #include "fescueridge/transport/http_server.hpp"
 
@@ -93,10 +94,9 @@
     std::map<service_name, double> downstream_calls(const route_name& route) const;
     void log_request(log_event event, const request_state& request, log_weight weight,
                      std::vector<event_field> more);
-    void log_shares(const std::vector<route_demand>& demands,
-                    const service_capacity& capacity,
-                    const std::map<route_name, double>& shares);
-    void count_arrival(const route_name& route);
+    void log_shares(const std::vector<class_demand>& demands,
+                    const service_capacity& capacity, const class_shares& shares);
+    void count_arrival(const admission_class& of);
 
     asio::io_context& io_;
     const node_settings& settings_;
@@ -121,7 +121,8 @@
         double count = 0; ///< Since the last update.
         double per_s = 0;
     };
-    std::map<route_name, arrival_meter> arrivals_;
+    std::map<admission_class, arrival_meter> arrivals_;
+    return_detector returns_;
     time_point last_update_{};
     time_point next_shares_line_{};
     bool all_admitted_ = false; ///< The last line about shares said so.
