--- a/src/gateway/admission_plan.cpp
+++ b/src/gateway/admission_plan.cpp
@@ -100,13 +100,19 @@
 double capacity_trim::update(double wait_ms)
 {
     constexpr double target_wait_ms = 10;
-    constexpr double down_per_ms = 0.0003;
-    constexpr double most_down = 0.01;
+    constexpr double short_wait_ms = 3;
+    constexpr double down_per_ms = 0.0004;
+    constexpr double most_down = 0.012;
     constexpr double up = 1.003;
+    // Slots are free: what was held back is not needed any more.
+    constexpr double up_when_idle = 1.01;
     constexpr double least = 0.5;
     constexpr double most = 1;
     const double over_ms = wait_ms - target_wait_ms;
-    factor_ *= over_ms > 0 ? 1 - std::min(most_down, down_per_ms * over_ms) : up;
+    if (over_ms > 0)
+        factor_ *= 1 - std::min(most_down, down_per_ms * over_ms);
+    else
+        factor_ *= wait_ms < short_wait_ms ? up_when_idle : up;
     factor_ = std::clamp(factor_, least, most);
     return factor_;
 }
--- a/src/gateway/topic_follower.cpp
+++ b/src/gateway/topic_follower.cpp
@@ -7,9 +7,10 @@
 namespace
 {
 
-/// How long a read waits for new records. A connection that went silent is noticed after
+/// How long a read waits for new records. Peers tell of a new configuration while a
+/// connection to the log is silent, which is noticed after
 /// this time and the margin.
-constexpr milliseconds read_wait{5'000};
+constexpr milliseconds read_wait{20'000};
 constexpr milliseconds read_margin{1'000};
 
 constexpr milliseconds list_timeout{1'000};
