Compare the best server nearby with the best elsewhere

Cause: as soon as the own failure domain's servers were over 85% used, all servers were drawn alike, and two in three requests left the domain; below it a slow server nearby was kept whatever its speed. Change: the cheaper of two servers nearby is compared with the cheaper of two elsewhere; while the one nearby has slots to spare the other must cost under 0.7 of it.

--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -21,9 +21,13 @@
 /// as long.
 constexpr double failure_factor = 20;
 
-/// Use of the cheapest domain's slots up to which its servers come first.
+/// Use of its slots up to which a server of the own failure domain is kept unless another
+/// one is much cheaper.
 constexpr double spare_use = 0.85;
 
+/// How much cheaper a server elsewhere must be then.
+constexpr double much_cheaper = 0.7;
+
 double use_of(const placement_candidate& candidate)
 {
     const double in_system = candidate.load.running + candidate.load.waiting + 1.0;
@@ -46,24 +50,6 @@
 
 using choices = std::vector<const placement_candidate*>;
 
-/// Returns the candidates of the own failure domain if they have slots to spare, else
-/// all.
-choices preferred(const std::vector<placement_candidate>& candidates)
-{
-    choices near;
-    choices all;
-    double use = 0;
-    for (const auto& candidate : candidates)
-    {
-        all.push_back(&candidate);
-        if (candidate.from == distance::other_domain || candidate.failure_share > 0.3)
-            continue;
-        near.push_back(&candidate);
-        use = near.size() == 1 ? use_of(candidate) : std::min(use, use_of(candidate));
-    }
-    return near.empty() || use > spare_use ? all : near;
-}
-
 const placement_candidate* draw(const choices& from, const placement_candidate* except,
                                 random_engine& random)
 {
@@ -78,6 +64,19 @@
     return from[pick(random)];
 }
 
+/// Returns the cheaper one of two candidates that are drawn at random, or null.
+const placement_candidate* cheaper_of_two(const choices& from, double typical_service_ms,
+                                          random_engine& random)
+{
+    if (from.size() < 2)
+        return from.empty() ? nullptr : from.front();
+    const auto* first = draw(from, nullptr, random);
+    const auto* second = draw(from, first, random);
+    const bool second_is_cheaper = placement_cost(*second, typical_service_ms) <
+                                   placement_cost(*first, typical_service_ms);
+    return second_is_cheaper ? second : first;
+}
+
 } // namespace
 
 double placement_cost(const placement_candidate& candidate, double typical_service_ms)
@@ -100,17 +99,22 @@
 std::optional<node_id> choose_server(const std::vector<placement_candidate>& candidates,
                                      random_engine& random)
 {
-    if (candidates.empty())
-        return std::nullopt;
-    const auto from = preferred(candidates);
-    if (from.size() == 1)
-        return from.front()->node;
+    choices near;
+    choices far;
+    for (const auto& candidate : candidates)
+        (candidate.from == distance::other_domain ? far : near).push_back(&candidate);
     const double typical = typical_service_ms(candidates);
-    const auto* first = draw(from, nullptr, random);
-    const auto* second = draw(from, first, random);
-    const bool second_is_cheaper =
-        placement_cost(*second, typical) < placement_cost(*first, typical);
-    return second_is_cheaper ? second->node : first->node;
+    const auto* near_choice = cheaper_of_two(near, typical, random);
+    const auto* far_choice = cheaper_of_two(far, typical, random);
+    if (!near_choice || !far_choice)
+    {
+        const auto* only = near_choice ? near_choice : far_choice;
+        return only ? std::optional<node_id>(only->node) : std::nullopt;
+    }
+    const double bound = use_of(*near_choice) <= spare_use ? much_cheaper : 1;
+    const bool leave = placement_cost(*far_choice, typical) <
+                       bound * placement_cost(*near_choice, typical);
+    return leave ? far_choice->node : near_choice->node;
 }
 
 } // namespace fescueridge::gateway
--- a/src/include/fescueridge/gateway/placement.hpp
+++ b/src/include/fescueridge/gateway/placement.hpp
@@ -34,8 +34,9 @@
 /// the failure domain, and the price of likely failures.
 double placement_cost(const placement_candidate& candidate, double typical_service_ms);
 
-/// Chooses a server: of two drawn at random, weighted by free slots, the cheaper one.
-/// Servers of the own failure domain come first while they have slots to spare.
+/// Chooses a server: the cheaper one of two servers of the own failure domain and the
+/// cheaper one of two elsewhere, all drawn at random, weighted by free slots, are compared.
+/// While the one nearby has slots to spare, the other one must be much cheaper.
 ///
 /// Load that it answers: servers of one service whose speeds differ threefold, that slow
 /// down when nearly full, start cold or fail a part of their requests.
