--- a/src/gateway/entry_port.cpp
+++ b/src/gateway/entry_port.cpp
@@ -467,7 +467,7 @@
                                                (now - known->second.reported).count())});
     fields.insert(fields.end(), std::make_move_iterator(more.begin()),
                   std::make_move_iterator(more.end()));
-    decisions_.record(event, std::move(fields), weight);
+    decisions_.record(event, fields, weight);
 }
 
 std::vector<route_arrivals> entry_port::arrivals() const
@@ -483,6 +483,7 @@
         (of.returned ? sums.returned_per_s : sums.new_per_s) = meter.per_s;
     }
     std::vector<route_arrivals> result;
+    result.reserve(by_route.size());
     for (auto& [route, sums] : by_route)
         result.push_back(std::move(sums));
     return result;
--- a/src/gateway/run_executor.cpp
+++ b/src/gateway/run_executor.cpp
@@ -189,7 +189,7 @@
         fields.push_back({"born_ms", server->born_ms});
         fields.push_back({"slots", std::int64_t{server->slots.get()}});
     }
-    decisions_.record(log_event::server_changed, std::move(fields));
+    decisions_.record(log_event::server_changed, fields);
     if (change == server_change::stale)
         return;
     if (change == server_change::leaving)
