Refuse clients late in a stop; move the records of the log out of the node

Clients go on sending to a node long after its stop signal. The process ends when it is idle, 2.6 s after the signal at the earliest, or 0.9 s before the kill, and cuts what it has just taken.

Ruled out: a longer margin before the kill. The request that is cut last is always one that came in late, whatever the margin.

Change: 2.6 s after the signal requests of clients are refused as not run. Calls of runs at the server beside the node still begin.

--- a/src/codec/gateway_codec.cpp
+++ b/src/codec/gateway_codec.cpp
@@ -133,7 +133,7 @@
     append(out, m.number, to_binary(m.request.get()), to_binary(m.route.get()),
            to_binary(m.service.get()), to_binary(m.caller.get()), m.time_left.count(),
            m.target_latency.count(), m.rank.get(), m.from_server ? 1 : 0,
-           m.resend ? 1 : 0, static_cast<int>(m.repeat), m.method, to_binary(m.target),
+           static_cast<int>(m.repeat), m.method, to_binary(m.target),
            to_binary(m.authority), to_array(m.headers), to_binary(m.body));
 }
 
@@ -149,7 +149,6 @@
     m.target_latency = milliseconds(in.number<std::int64_t>(0, max_time_ms));
     m.rank = priority(in.number<std::uint8_t>(0, lowest_priority));
     m.from_server = in.number<int>(0, 1) == 1;
-    m.resend = in.number<int>(0, 1) == 1;
     m.repeat = in.number<repeat_rule>(0, static_cast<int>(repeat_rule::at_most_once));
     m.method = in.text();
     m.target = in.text();
--- /dev/null
+++ b/src/gateway/cluster_records.cpp
@@ -0,0 +1,149 @@
+#include "fescueridge/gateway/cluster_records.hpp"
+
+#include "fescueridge/base/error.hpp"
+#include "fescueridge/codec/messages.hpp"
+
+namespace fescueridge::gateway
+{
+namespace
+{
+
+constexpr milliseconds operation_timeout{1'000};
+constexpr milliseconds publish_pause{500};
+constexpr const char* calls_key = "calls";
+
+} // namespace
+
+cluster_records::cluster_records(asio::io_context& io, const node_settings& settings,
+                                 keyed_log& log, decision_log& decisions,
+                                 node_record self, cluster_callbacks callbacks)
+    : settings_(settings), log_(log), decisions_(decisions), self_(std::move(self)),
+      callbacks_(std::move(callbacks)), publish_timer_(io)
+{
+    topic_callbacks nodes;
+    nodes.on_record = [this](const keyed_record& record)
+    {
+        take_node(record);
+    };
+    nodes_ = std::make_shared<topic_follower>(io, log_, decisions_, settings_.nodes_topic,
+                                              std::move(nodes));
+}
+
+void cluster_records::start()
+{
+    publish();
+    nodes_->start();
+    read_calls();
+}
+
+void cluster_records::stop()
+{
+    publish_timer_.cancel();
+    nodes_->stop();
+}
+
+void cluster_records::publish()
+{
+    const keyed_record record{self_.node.get(),
+                              encode_frame({0, known_nodes_message{{self_}}})};
+    log_.append(settings_.nodes_topic, record, operation_timeout,
+                [this](const log_result<append_receipt>& result)
+                {
+                    const auto* failure = std::get_if<log_failure>(&result);
+                    if (!failure)
+                        return;
+                    note_append_failure(settings_.nodes_topic, *failure);
+                    publish_later();
+                });
+}
+
+void cluster_records::publish_later()
+{
+    publish_timer_.expires_after(publish_pause);
+    publish_timer_.async_wait(
+        [this](asio::error_code ec)
+        {
+            if (!ec && !withdrawn_)
+                publish();
+        });
+}
+
+void cluster_records::withdraw()
+{
+    withdrawn_ = true;
+    log_.append(settings_.nodes_topic, {self_.node.get(), {}}, operation_timeout,
+                [](const log_result<append_receipt>&)
+                {
+                    // Peers notice the closed link as well; the record is only tidied up.
+                });
+}
+
+void cluster_records::read_calls()
+{
+    log_.newest(settings_.learned_topic, {}, operation_timeout,
+                [this](const log_result<newest_page>& result)
+                {
+                    const auto* page = std::get_if<newest_page>(&result);
+                    // Without it the calls are learned anew, in a few seconds.
+                    if (!page || page->records.empty())
+                        return;
+                    const auto learned = read_record<node_report_message>(
+                        settings_.learned_topic, page->records.front());
+                    if (learned)
+                        callbacks_.on_calls(learned->calls);
+                });
+}
+
+void cluster_records::write_calls(const std::vector<call_edge>& calls)
+{
+    node_report_message learned;
+    learned.calls = calls;
+    log_.append(settings_.learned_topic, {calls_key, encode_frame({0, learned})},
+                operation_timeout,
+                [this](const log_result<append_receipt>& result)
+                {
+                    if (const auto* failure = std::get_if<log_failure>(&result))
+                        note_append_failure(settings_.learned_topic, *failure);
+                });
+}
+
+void cluster_records::take_node(const keyed_record& record)
+{
+    if (record.value.empty())
+        return callbacks_.on_node_ended(node_id(record.key));
+    const auto known = read_record<known_nodes_message>(settings_.nodes_topic, record);
+    if (!known)
+        return;
+    for (const auto& node : known->nodes)
+        callbacks_.on_node(node);
+}
+
+template <class Message>
+std::optional<Message> cluster_records::read_record(const topic_name& topic,
+                                                    const keyed_record& record)
+{
+    try
+    {
+        auto frame = decode_frame(record.value);
+        if (auto* message = std::get_if<Message>(&frame.message))
+            return std::move(*message);
+    }
+    catch (const codec_error& problem)
+    {
+        decisions_.record(
+            log_event::records_unreadable,
+            {{"topic", topic.get()}, {"key", record.key}, {"detail", problem.what()}});
+    }
+    return std::nullopt;
+}
+
+void cluster_records::note_append_failure(const topic_name& topic,
+                                          const log_failure& failure)
+{
+    decisions_.record(log_event::log_append_failed,
+                      {{"topic", topic.get()},
+                       {"cause", std::string(to_string(failure.kind))},
+                       {"detail", failure.detail}});
+}
+
+} // namespace fescueridge::gateway
--- a/src/gateway/crash_suspects.cpp
+++ b/src/gateway/crash_suspects.cpp
@@ -52,14 +52,11 @@
 
 void crash_suspects::on_completed(fingerprint request)
 {
-    if (!records_.empty())
-        records_.erase(request);
+    records_.erase(request);
 }
 
 bool crash_suspects::quarantined(fingerprint request, time_point now) const
 {
-    if (records_.empty())
-        return false;
     const auto found = records_.find(request);
     return found != records_.end() && now - found->second.last <= memory &&
            found->second.crashes.size() >= crash_limit;
--- a/src/gateway/entry_port.cpp
+++ b/src/gateway/entry_port.cpp
@@ -15,9 +15,6 @@
 /// A server's own answer at the timeout may come this much later.
 constexpr milliseconds answer_margin{20};
 
-/// Weight of one outcome in the share of failures of the own server.
-constexpr double outcome_weight = 0.05;
-
 /// Share of a route that is admitted from which a soon return is likely to succeed.
 constexpr double slight_overload_share = 0.7;
 
@@ -127,6 +124,10 @@
     message.body = std::move(raw.body);
     remove_hop_headers(message.headers);
     wire_.remove_reserved_fields(message.headers);
+    // Without a run at the server beside this node there is no parent of a call.
+    const bool is_call = message.from_server && executor_.open_runs() > 0;
+    if (refuses_clients_ && !is_call)
+        return reject(request, rejection::stopping);
     if (!may_begin(request))
         return reject(request, rejection::overload);
     retries_.on_request(message.service, request->arrival);
@@ -171,10 +172,8 @@
 
 placement_candidate entry_port::own_candidate() const
 {
-    node_report_message own;
-    executor_.fill_report(own);
-    return {settings_.node, distance::same_vm, own.load,
-            own.limit,      own.service_ms,    own_failure_share_};
+    return {settings_.node,    distance::same_vm,      executor_.load(),
+            executor_.limit(), executor_.service_ms(), own_failures_.value()};
 }
 
 placement_candidate entry_port::candidate_of(const peer& other) const
@@ -188,7 +187,7 @@
         std::max(candidate.load.running + other.sent_since_report, other.in_flight);
     candidate.limit = other.report.limit;
     candidate.service_ms = other.report.service_ms;
-    candidate.failure_share = other.failure_share;
+    candidate.failure_share = other.failures.value();
     return candidate;
 }
 
@@ -209,8 +208,8 @@
     for (const auto& [node, other] : peers_.all())
     {
         const auto& report = other.report;
-        if (!peers::is_doubtful(other) && report.accepting && report.server &&
-            report.server->service == service && !is_tried(node))
+        if (report.accepting && report.server && report.server->service == service &&
+            !is_tried(node) && !peers::is_doubtful(other))
             found.push_back(candidate_of(other));
     }
     return found;
@@ -241,7 +240,6 @@
     request->local_run = run_number(0);
     auto message = request->message;
     message.time_left = request->answer_by - clock::now();
-    message.resend = request->sends > 0;
     ++request->sends;
     const auto on_result =
         [this, weak = std::weak_ptr<request_state>(request)](forward_reply_message reply)
@@ -281,8 +279,7 @@
                         reply.failure == forward_failure::server_rejected;
     const bool says_nothing = reply.result == forward_result::not_run && !failed;
     if (!says_nothing && request->at == settings_.node)
-        own_failure_share_ +=
-            outcome_weight * ((failed ? 1.0 : 0.0) - own_failure_share_);
+        own_failures_.record(failed);
     else if (!says_nothing)
         peers_.record_outcome(request->at, failed);
     switch (reply.result)
@@ -372,7 +369,11 @@
     log_request(log_event::request_answered, *request,
                 failure ? log_weight::failure : log_weight::success,
                 {{"status", std::int64_t{reply.status}}});
-    http_response response{reply.status, std::move(reply.headers), std::move(reply.body)};
+    answer(request, {reply.status, std::move(reply.headers), std::move(reply.body)});
+}
+
+void entry_port::answer(const request_ptr& request, http_response response)
+{
     const auto exchange = request->exchange;
     end(request);
     exchange->respond(std::move(response));
@@ -403,10 +404,7 @@
     const auto wait = promises_not_run(why)
                           ? std::optional<milliseconds>(retry_after(*request))
                           : std::nullopt;
-    auto response = wire_.make_rejection(why, request->message.request, wait);
-    const auto exchange = request->exchange;
-    end(request);
-    exchange->respond(std::move(response));
+    answer(request, wire_.make_rejection(why, request->message.request, wait));
 }
 
 void entry_port::on_timeout(const request_ptr& request)
--- a/src/gateway/entry_shares.cpp
+++ b/src/gateway/entry_shares.cpp
@@ -100,7 +100,7 @@
     }
     origins_.end_update();
     edges_ = fleet.edges();
-    const auto demands = fleet.demands(origins_.called_routes());
+    const auto demands = fleet.demands(origins_.called_routes(), edges_);
     const auto capacity = fleet.capacity(trims_);
     auto shares = admitted_shares(demands, capacity);
     if (now >= next_shares_line_)
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -51,12 +51,13 @@
     return result;
 }
 
-std::vector<class_demand> fleet_view::demands(const std::set<route_name>& called) const
+std::vector<class_demand> fleet_view::demands(const std::set<route_name>& called,
+                                              const std::vector<call_edge>& calls) const
 {
     std::map<route_name, route_cost_input> inputs;
     for (const auto& route : table_.config().routes)
         inputs.emplace(route.name, cost_input_of(route));
-    const auto costs = service_costs_of(inputs, edges());
+    const auto costs = service_costs_of(inputs, calls);
     std::vector<class_demand> result;
     for (const auto& route : table_.config().routes)
     {
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -28,8 +28,10 @@
     /// Returns how often runs of routes call other routes: the mean over the nodes.
     std::vector<call_edge> edges() const;
 
-    /// Returns the demand of clients for the routes that are not `called` by servers.
-    std::vector<class_demand> demands(const std::set<route_name>& called) const;
+    /// Returns the demand of clients for the routes that are not `called` by servers,
+    /// with what it costs along these calls.
+    std::vector<class_demand> demands(const std::set<route_name>& called,
+                                      const std::vector<call_edge>& calls) const;
 
     /// Returns the capacity of each service, corrected by what its queues show.
     service_capacity capacity(std::map<service_name, capacity_trim>& trims) const;
--- a/src/gateway/fleet_view_test.cpp
+++ b/src/gateway/fleet_view_test.cpp
@@ -47,7 +47,7 @@
         report_of("menu", {{route_name("browse"), 20, 0}, {route_name("rates"), 80, 0}}),
         now);
     fleet.add(report_of("prices", {{route_name("browse"), 25, 0}}), now);
-    const auto demands = fleet.demands({route_name("rates")});
+    const auto demands = fleet.demands({route_name("rates")}, fleet.edges());
     cr_assert_eq(demands.size(), 1U);
     cr_expect_eq(demands[0].arrivals_per_s, 45);
 }
@@ -59,7 +59,7 @@
     fleet_view fleet(table, now);
     fleet.add(report_of("menu", {{route_name("browse"), 20, 0}}),
               now - milliseconds{5'000});
-    cr_expect(fleet.demands({}).empty());
+    cr_expect(fleet.demands({}, fleet.edges()).empty());
     std::map<service_name, capacity_trim> trims;
     cr_expect(fleet.capacity(trims).empty());
 }
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -5,6 +5,7 @@
 #include <asio/steady_timer.hpp>
 
 #include "fescueridge/base/error.hpp"
+#include "fescueridge/gateway/cluster_records.hpp"
 #include "fescueridge/gateway/entry_port.hpp"
 #include "fescueridge/gateway/topic_follower.hpp"
 #include "metrics_text.hpp"
@@ -21,11 +22,9 @@
 /// Calls and slot times change slowly: one report in this many carries them.
 constexpr unsigned learned_in_reports = 4;
 
-constexpr milliseconds append_timeout{1'000};
-constexpr milliseconds append_pause{500};
-
 /// After the stop signal clients are told by the readiness check, which is made once a
-/// second; two misses take the node out.
+/// second; two misses take the node out. Clients that still send requests after this time
+/// are told to return: the process could end before their requests.
 constexpr milliseconds least_stop_time{2'600};
 
 /// Time before the kill at which the process ends, whatever still runs. A slow VM needs
@@ -35,7 +34,6 @@
 /// How often one node writes down what was learned of calls, so that it survives a
 /// restart of all nodes.
 constexpr milliseconds learned_interval{5'000};
-constexpr const char* learned_key = "calls";
 
 /// Requests of one client connection that run at the same time.
 constexpr std::size_t max_pipelined = 16;
@@ -59,14 +57,11 @@
 
     void every(milliseconds interval, std::function<void()> action);
     peer_callbacks make_peer_callbacks();
+    cluster_callbacks make_cluster_callbacks();
     void start_following();
 
     void take_config(const std::string& content, const char* source);
-    void take_node(const keyed_record& record);
-    void publish_self();
-    void read_learned();
     void write_learned();
-    void on_listed();
 
     void handle_readiness(const http_request& request, http_exchange& exchange);
     void handle_announcement(const http_request& request, http_exchange& exchange);
@@ -82,13 +77,6 @@
     void check_stop();
     void finish();
 
-    /// A run that a peer asked for.
-    struct remote_run
-    {
-        link_ptr from;
-        std::uint64_t number;
-    };
-
     asio::io_context& io_;
     const node_settings settings_;
     const wire_format& wire_;
@@ -98,19 +86,17 @@
     run_executor executor_;
     peers peers_;
     entry_port entry_;
+    cluster_records records_;
     std::unique_ptr<http_server> entry_server_;
     std::unique_ptr<http_server> ready_server_;
     std::unique_ptr<http_server> announcement_server_;
     std::shared_ptr<topic_follower> config_follower_;
-    std::shared_ptr<topic_follower> nodes_follower_;
     std::shared_ptr<const route_table> table_;
     std::string config_text_;
     std::map<std::pair<link*, std::uint64_t>, run_number> remote_runs_;
     std::vector<timer_ptr> timers_;
     unsigned reports_ = 0;
     bool change_pending_ = false;
-    bool published_ = false;
-    bool publishing_ = false;
     time_point next_pull_{};
     std::optional<time_point> stopping_since_;
     bool finished_ = false;
@@ -127,7 +113,8 @@
                      peers_.broadcast(suspect);
                  }}),
       peers_(io, settings_, events_, decisions_, make_peer_callbacks()),
-      entry_(io, settings_, wire, decisions_, peers_, executor_)
+      entry_(io, settings_, wire, decisions_, peers_, executor_),
+      records_(io, settings_, log, decisions_, peers_.self(), make_cluster_callbacks())
 {
     events_.echo(false);
     http_server_options entry_options;
@@ -239,6 +226,25 @@
     return calls;
 }
 
+cluster_callbacks gateway_node::impl::make_cluster_callbacks()
+{
+    cluster_callbacks calls;
+    calls.on_node = [this](const node_record& node)
+    {
+        peers_.learn(node);
+    };
+    calls.on_node_ended = [this](const node_id& node)
+    {
+        peers_.forget(node);
+    };
+    calls.on_calls = [this](const std::vector<call_edge>& learned)
+    {
+        entry_.remember_calls(learned);
+        executor_.remember_calls(learned);
+    };
+    return calls;
+}
+
 void gateway_node::impl::start_following()
 {
     topic_callbacks config;
@@ -250,20 +256,7 @@
     config_follower_ = std::make_shared<topic_follower>(
         io_, log_, decisions_, settings_.config_topic, std::move(config));
     config_follower_->start();
-    topic_callbacks nodes;
-    nodes.on_record = [this](const keyed_record& record)
-    {
-        take_node(record);
-    };
-    nodes.on_listed = [this]
-    {
-        on_listed();
-    };
-    nodes_follower_ = std::make_shared<topic_follower>(
-        io_, log_, decisions_, settings_.nodes_topic, std::move(nodes));
-    publish_self();
-    nodes_follower_->start();
-    read_learned();
+    records_.start();
 }
 
 // Versions only grow within a process: an older one from a slow source changes nothing.
@@ -300,84 +293,6 @@
     report_change();
 }
 
-void gateway_node::impl::take_node(const keyed_record& record)
-{
-    if (record.value.empty())
-        return peers_.forget(node_id(record.key));
-    try
-    {
-        const auto frame = decode_frame(record.value);
-        if (const auto* nodes = std::get_if<known_nodes_message>(&frame.message))
-            for (const auto& node : nodes->nodes)
-                peers_.learn(node);
-    }
-    catch (const codec_error& problem)
-    {
-        decisions_.record(log_event::records_unreadable,
-                          {{"topic", settings_.nodes_topic.get()},
-                           {"key", record.key},
-                           {"detail", problem.what()}});
-    }
-}
-
-void gateway_node::impl::publish_self()
-{
-    if (publishing_ || published_ || stopping_since_)
-        return;
-    publishing_ = true;
-    const keyed_record record{settings_.node.get(),
-                              encode_frame({0, known_nodes_message{{peers_.self()}}})};
-    log_.append(settings_.nodes_topic, record, append_timeout,
-                [this](log_result<append_receipt> result)
-                {
-                    publishing_ = false;
-                    published_ = std::holds_alternative<append_receipt>(result);
-                    if (published_)
-                        return;
-                    const auto& failure = std::get<log_failure>(result);
-                    decisions_.record(log_event::log_append_failed,
-                                      {{"topic", settings_.nodes_topic.get()},
-                                       {"cause", std::string(to_string(failure.kind))},
-                                       {"detail", failure.detail}});
-                    auto timer = std::make_shared<asio::steady_timer>(io_, append_pause);
-                    timers_.push_back(timer);
-                    timer->async_wait(
-                        [this](asio::error_code ec)
-                        {
-                            if (!ec)
-                                publish_self();
-                        });
-                });
-}
-
-void gateway_node::impl::read_learned()
-{
-    log_.newest(settings_.learned_topic, {}, append_timeout,
-                [this](const log_result<newest_page>& result)
-                {
-                    const auto* page = std::get_if<newest_page>(&result);
-                    // Without it the calls are learned anew, in a few seconds.
-                    if (!page || page->records.empty())
-                        return;
-                    try
-                    {
-                        const auto frame = decode_frame(page->records.front().value);
-                        if (const auto* report =
-                                std::get_if<node_report_message>(&frame.message))
-                        {
-                            entry_.remember_calls(report->calls);
-                            executor_.remember_calls(report->calls);
-                        }
-                    }
-                    catch (const codec_error& problem)
-                    {
-                        decisions_.record(log_event::records_unreadable,
-                                          {{"topic", settings_.learned_topic.get()},
-                                           {"detail", problem.what()}});
-                    }
-                });
-}
-
 // The linked node with the lowest name writes for all.
 void gateway_node::impl::write_learned()
 {
@@ -386,25 +301,7 @@
     for (const auto& [node, other] : peers_.all())
         if (other.connection && node < settings_.node)
             return;
-    node_report_message learned;
-    learned.calls = entry_.calls();
-    log_.append(settings_.learned_topic, {learned_key, encode_frame({0, learned})},
-                append_timeout,
-                [this](const log_result<append_receipt>& result)
-                {
-                    const auto* failure = std::get_if<log_failure>(&result);
-                    if (failure)
-                        decisions_.record(
-                            log_event::log_append_failed,
-                            {{"topic", settings_.learned_topic.get()},
-                             {"cause", std::string(to_string(failure->kind))},
-                             {"detail", failure->detail}});
-                });
-}
-
-void gateway_node::impl::on_listed()
-{
-    publish_self();
+    records_.write_calls(entry_.calls());
 }
 
 void gateway_node::impl::handle_readiness(const http_request& request,
@@ -433,9 +330,7 @@
         executor_.on_announcement(wire_.read_announcement(request));
         if (const auto& server = executor_.server())
         {
-            // A departure may be all that this process has heard of its server.
-            if (!server->service.get().empty())
-                entry_.set_caller(server->service);
+            entry_.set_caller(server->service);
             if (const auto* service = table_ ? table_->service(server->service) : nullptr)
                 executor_.configure(*service);
         }
@@ -543,11 +438,7 @@
     executor_.stop_accepting();
     entry_server_->close_after_answers();
     peers_.broadcast(make_report(false));
-    log_.append(settings_.nodes_topic, {settings_.node.get(), {}}, append_timeout,
-                [](const log_result<append_receipt>&)
-                {
-                    // Peers notice the closed link as well; the record is only tidied up.
-                });
+    records_.withdraw();
 }
 
 void gateway_node::impl::check_stop()
@@ -555,6 +446,8 @@
     if (!stopping_since_)
         return;
     const auto passed = clock::now() - *stopping_since_;
+    if (passed >= least_stop_time)
+        entry_.refuse_clients();
     const bool idle = entry_.open_requests() == 0 && executor_.open_runs() == 0;
     const bool out_of_time = passed >= settings_.bounds.grace - stop_margin;
     if (out_of_time || (idle && passed >= least_stop_time))
@@ -572,7 +465,7 @@
     for (const auto& timer : timers_)
         timer->cancel();
     config_follower_->stop();
-    nodes_follower_->stop();
+    records_.stop();
     io_.stop();
 }
 
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "fescueridge/base/random.hpp"
+#include "fescueridge/base/overloaded.hpp"
 
 namespace fescueridge::gateway
 {
@@ -26,9 +26,6 @@
 /// them: two heartbeats are missing.
 constexpr milliseconds doubtful_silence{550};
 
-/// Weight of one outcome in the share of failures: about the last 20 requests.
-constexpr double outcome_weight = 0.05;
-
 forward_reply_message lost_reply(std::uint64_t number)
 {
     forward_reply_message reply;
@@ -38,14 +35,6 @@
     return reply;
 }
 
-template <class... Handlers>
-struct overloaded : Handlers...
-{
-    using Handlers::operator()...;
-};
-template <class... Handlers>
-overloaded(Handlers...) -> overloaded<Handlers...>;
-
 } // namespace
 
 peers::peers(asio::io_context& io, const node_settings& settings, event_log& events,
@@ -56,7 +45,7 @@
     self_.node = settings.node;
     self_.started_ms = wall_clock_ms();
     self_.domain = settings.domain;
-    self_.link = settings.listen_link;
+    self_.link = settings.advertised_link;
 }
 
 peers::~peers()
@@ -309,10 +298,8 @@
 void peers::record_outcome(const node_id& node, bool failed)
 {
     const auto found = peers_.find(node);
-    if (found == peers_.end())
-        return;
-    double& share = found->second.failure_share;
-    share += outcome_weight * ((failed ? 1.0 : 0.0) - share);
+    if (found != peers_.end())
+        found->second.failures.record(failed);
 }
 
 void peers::start_dialling()
--- a/src/gateway/run_executor.cpp
+++ b/src/gateway/run_executor.cpp
@@ -43,6 +43,12 @@
     return options;
 }
 
+/// Hashes the whole body: only for requests that a crash may concern.
+fingerprint print_of(const forward_message& call)
+{
+    return fingerprint_of(call.caller, call.method, call.target, call.body);
+}
+
 forward_reply_message make_reply(forward_result result, forward_failure failure)
 {
     forward_reply_message reply;
@@ -57,7 +63,8 @@
                            const wire_format& wire, decision_log& decisions,
                            executor_callbacks callbacks)
     : io_(io), settings_(settings), wire_(wire), decisions_(decisions),
-      callbacks_(std::move(callbacks)), tracker_(settings.heartbeat_interval), queue_(0)
+      callbacks_(std::move(callbacks)),
+      tracker_(settings.service, settings.heartbeat_interval), queue_(0)
 {
     renew_pool();
 }
@@ -234,31 +241,32 @@
         report.slot_times.push_back({route, ms});
 }
 
+std::optional<forward_failure>
+run_executor::reason_to_refuse(const forward_message& call) const
+{
+    const auto& server = tracker_.server();
+    if (stopping_ || !server || server->service != call.service)
+        return forward_failure::server_leaving;
+    if (!tracker_.accepts())
+        return tracker_.suspected() ? forward_failure::server_down
+                                    : forward_failure::server_leaving;
+    if (!suspects_.empty() && suspects_.quarantined(print_of(call), clock::now()))
+        return forward_failure::quarantined;
+    return std::nullopt;
+}
+
 run_number run_executor::submit(forward_message call, callback done)
 {
     const run_number number(++next_number_);
     const auto now = clock::now();
     run entry;
     entry.deadline = now + call.time_left;
-    entry.print = fingerprint_of(call.caller, call.method, call.target, call.body);
     entry.call = std::move(call);
     entry.done = std::move(done);
     const auto& held = runs_.emplace(number, std::move(entry)).first->second;
-    const auto& server = tracker_.server();
-    if (stopping_ || !server || server->service != held.call.service ||
-        (!tracker_.accepts() && !tracker_.suspected()))
-    {
-        fail(number, forward_result::not_run, forward_failure::server_leaving, false);
-        return number;
-    }
-    if (tracker_.suspected())
-    {
-        fail(number, forward_result::not_run, forward_failure::server_down, false);
-        return number;
-    }
-    if (suspects_.quarantined(held.print, now))
+    if (const auto reason = reason_to_refuse(held.call))
     {
-        fail(number, forward_result::not_run, forward_failure::quarantined, false);
+        fail(number, forward_result::not_run, *reason, false);
         return number;
     }
     const auto decision = queue_.offer({number, held.call.route, held.deadline,
@@ -318,8 +326,7 @@
     switch (wire_.judge(answer))
     {
     case server_verdict::wrong_server:
-        note_change(tracker_.on_no_answer(last_answer_),
-                    "another_server_has_the_address");
+        note_change(tracker_.on_no_answer(), "another_server_has_the_address");
         [[fallthrough]];
     case server_verdict::not_run:
         ++counters_.rejected_by_server;
@@ -334,8 +341,8 @@
         break;
     }
     constexpr int first_failure_status = 500;
-    if (answer.status < first_failure_status)
-        suspects_.on_completed(ended.print);
+    if (answer.status < first_failure_status && !suspects_.empty())
+        suspects_.on_completed(print_of(ended.call));
     ++counters_.answered;
     forward_reply_message reply = make_reply(forward_result::answered, {});
     reply.status = answer.status;
@@ -352,7 +359,7 @@
     if (!failure.sent)
     {
         if (failure.kind == http_failure_kind::connect_failed)
-            note_change(tracker_.on_no_answer(now), "connection_refused");
+            note_change(tracker_.on_no_answer(), "connection_refused");
         if (runs_.count(number) == 0)
             return;
         log_run(log_event::run_failed, ended, "not_sent");
@@ -367,7 +374,7 @@
         return fail(number, forward_result::unknown, forward_failure::deadline, true);
     }
     if (failure.kind == http_failure_kind::cut)
-        suspects_.on_cut(ended.print, now);
+        suspects_.on_cut(print_of(ended.call), now);
     ++counters_.broken_off;
     log_run(log_event::run_failed, ended, "broken_off");
     fail(number, forward_result::unknown, forward_failure::server_broke_off, false);
@@ -437,7 +444,7 @@
         least_silence.count(),
         static_cast<std::int64_t>(silent_slot_times * queue_.slot_ms())));
     if (queue_.running() > 0 && tracker_.accepts() && silent_for > bound)
-        note_change(tracker_.on_no_answer(now), "no_answers");
+        note_change(tracker_.on_no_answer(), "no_answers");
     const bool unknown = !tracker_.server();
     if ((unknown || tracker_.suspected()) && now >= next_probe_)
         probe();
@@ -467,8 +474,8 @@
                           const auto now = clock::now();
                           last_answer_ = now;
                           const bool unknown = !tracker_.server();
-                          const auto change = tracker_.on_healthy(*id, settings_.service,
-                                                                  assumed_slots, now);
+                          const auto change =
+                              tracker_.on_healthy(*id, assumed_slots, now);
                           if (unknown && tracker_.server())
                               use_slots(tracker_.server()->slots);
                           note_change(change, "health_check");
--- a/src/gateway/server_tracker.cpp
+++ b/src/gateway/server_tracker.cpp
@@ -89,6 +89,7 @@
     {
         server_record left;
         left.id = departure.id;
+        left.service = service_;
         left.born_ms = departure.born_ms.value_or(0);
         return on_memory_of_peer(left);
     }
@@ -115,7 +116,7 @@
     return server_change::leaving;
 }
 
-server_change server_tracker::on_no_answer(time_point /*now*/)
+server_change server_tracker::on_no_answer()
 {
     if (!server_ || suspected_ || is_leaving(server_->state))
         return server_change::none;
@@ -123,15 +124,14 @@
     return server_change::suspected;
 }
 
-server_change server_tracker::on_healthy(const instance_id& id,
-                                         const service_name& service,
-                                         slot_count assumed_slots, time_point now)
+server_change server_tracker::on_healthy(const instance_id& id, slot_count assumed_slots,
+                                         time_point now)
 {
     if (!server_)
     {
         server_record found;
         found.id = id;
-        found.service = service;
+        found.service = service_;
         found.slots = assumed_slots;
         found.state = server_state::ready;
         found.born_ms = latest_born_ms_;
@@ -156,7 +156,7 @@
 {
     if (!accepts() || now - last_sign_ < missing_heartbeats * heartbeat_interval_)
         return server_change::none;
-    return on_no_answer(now);
+    return on_no_answer();
 }
 
 } // namespace fescueridge::gateway
--- a/src/gateway/server_tracker_test.cpp
+++ b/src/gateway/server_tracker_test.cpp
@@ -11,13 +11,14 @@
 
 const time_point start{milliseconds{1'000'000}};
 constexpr milliseconds interval{1'500};
+const service_name tills("tills");
 
 server_heartbeat beat(const std::string& id, std::int64_t born, std::uint64_t sequence,
                       server_state state = server_state::ready)
 {
     server_heartbeat heartbeat;
     heartbeat.server.id = instance_id(id);
-    heartbeat.server.service = service_name("tills");
+    heartbeat.server.service = tills;
     heartbeat.server.slots = slot_count(29);
     heartbeat.server.state = state;
     heartbeat.server.born_ms = born;
@@ -29,7 +30,7 @@
 
 Test(server_tracker, accepts_an_announced_server_until_it_leaves)
 {
-    server_tracker tracker(interval);
+    server_tracker tracker(tills, interval);
     cr_expect(!tracker.accepts());
     cr_expect(tracker.on_heartbeat(beat("a", 10, 1), start) == server_change::started);
     cr_expect(tracker.accepts());
@@ -41,7 +42,7 @@
 // Guards against a late heartbeat that undoes an acknowledged departure.
 Test(server_tracker, does_not_bring_a_leaving_server_back_by_late_heartbeats)
 {
-    server_tracker tracker(interval);
+    server_tracker tracker(tills, interval);
     tracker.on_heartbeat(beat("a", 10, 1), start);
     tracker.on_heartbeat(beat("a", 10, 5, server_state::draining), start);
     cr_expect(tracker.on_heartbeat(beat("a", 10, 4), start) == server_change::stale);
@@ -56,7 +57,7 @@
 // Guards against a heartbeat of an earlier start at the same address.
 Test(server_tracker, takes_the_latest_start_only)
 {
-    server_tracker tracker(interval);
+    server_tracker tracker(tills, interval);
     tracker.on_heartbeat(beat("b", 20, 1), start);
     cr_expect(tracker.on_heartbeat(beat("a", 10, 9), start) == server_change::stale);
     cr_expect_str_eq(tracker.server()->id.get().c_str(), "b");
@@ -68,7 +69,7 @@
 // Guards against a server that starts again under its old id being taken for the old one.
 Test(server_tracker, knows_a_new_start_under_the_same_id)
 {
-    server_tracker tracker(interval);
+    server_tracker tracker(tills, interval);
     tracker.on_heartbeat(beat("a", 10, 7), start);
     tracker.on_departure({instance_id("a"), 10}, start);
     cr_expect(tracker.on_heartbeat(beat("a", 30, 1), start) == server_change::started);
@@ -79,7 +80,7 @@
 // leaving.
 Test(server_tracker, takes_the_memory_of_a_peer_after_a_restart)
 {
-    server_tracker tracker(interval);
+    server_tracker tracker(tills, interval);
     tracker.on_memory_of_peer(beat("a", 10, 5, server_state::gone).server);
     cr_expect(tracker.on_heartbeat(beat("a", 10, 4), start) == server_change::stale);
     cr_expect(!tracker.accepts());
@@ -91,16 +92,28 @@
 // Guards against a silent server keeping its requests until their deadlines.
 Test(server_tracker, suspects_a_server_without_heartbeats_and_recovers)
 {
-    server_tracker tracker(interval);
+    server_tracker tracker(tills, interval);
     tracker.on_heartbeat(beat("a", 10, 1), start);
     cr_expect(tracker.poll(start + 3 * interval) == server_change::none);
     cr_expect(tracker.poll(start + 5 * interval) == server_change::suspected);
     cr_expect(!tracker.accepts());
-    cr_expect(tracker.on_healthy(instance_id("a"), service_name("tills"), slot_count(16),
-                                 start) == server_change::recovered);
+    cr_expect(tracker.on_healthy(instance_id("a"), slot_count(16), start) ==
+              server_change::recovered);
     cr_expect(tracker.accepts());
 }
 
+// Guards against a caller without a name: after a restart, a departure may be all that a
+// node has heard of its server, and requests of the VM name the service of that server.
+Test(server_tracker, names_the_service_of_a_server_that_it_knows_by_its_departure_only)
+{
+    server_tracker tracker(tills, interval);
+    cr_expect(tracker.on_departure({instance_id("a"), 10}, start) ==
+              server_change::leaving);
+    cr_assert(tracker.server().has_value());
+    cr_expect_str_eq(tracker.server()->service.get().c_str(), "tills");
+    cr_expect(!tracker.accepts());
+}
+
 // Guards against a request that crashes every server that runs it.
 Test(crash_suspects, quarantines_a_request_that_was_running_at_three_crashes)
 {
--- a/src/gateway/topic_follower.cpp
+++ b/src/gateway/topic_follower.cpp
@@ -65,9 +65,6 @@
         return;
     if (page.more && !page.records.empty())
         return list(page.records.back().key);
-    listed_ = true;
-    if (callbacks_.on_listed)
-        callbacks_.on_listed();
     read();
 }
 
@@ -101,7 +98,6 @@
 
 void topic_follower::contact()
 {
-    last_contact_ = clock::now();
     pause_ = milliseconds{0};
     if (std::exchange(lost_, false))
         decisions_.record(log_event::log_regained, {{"topic", topic_.get()}});
--- a/src/gateway/wire_format.cpp
+++ b/src/gateway/wire_format.cpp
@@ -19,6 +19,8 @@
         return "overload";
     case rejection::no_server:
         return "no_server";
+    case rejection::stopping:
+        return "stopping";
     case rejection::quarantined:
         return "quarantined";
     case rejection::server_failed:
@@ -38,6 +40,7 @@
     case rejection::no_config:
     case rejection::overload:
     case rejection::no_server:
+    case rejection::stopping:
     case rejection::quarantined:
         return true;
     default:
--- a/src/include/fescueridge/codec/gateway_messages.hpp
+++ b/src/include/fescueridge/codec/gateway_messages.hpp
@@ -36,7 +36,6 @@
     milliseconds target_latency{0};
     priority rank;
     bool from_server = false; ///< A backend server's own call, part of a running request.
-    bool resend = false;      ///< An earlier attempt may have reached a backend server.
     repeat_rule repeat = repeat_rule::at_most_once;
     std::string method;
     std::string target;
--- a/src/include/fescueridge/gateway/crash_suspects.hpp
+++ b/src/include/fescueridge/gateway/crash_suspects.hpp
@@ -37,6 +37,10 @@
 
     bool quarantined(fingerprint request, time_point now) const;
 
+    /// Tells whether no request is suspected, so that callers need not compute any
+    /// fingerprint.
+    bool empty() const noexcept { return records_.empty(); }
+
 private:
     struct record
     {
--- a/src/include/fescueridge/gateway/decision_log.hpp
+++ b/src/include/fescueridge/gateway/decision_log.hpp
@@ -59,7 +59,7 @@
 public:
     decision_log(asio::io_context& io, const node_id& node);
 
-    /// Sets the fields that every line gets besides time, node and event.
+    /// Writes a line with these fields besides time, node and event.
     void record(log_event event, const std::vector<event_field>& fields = {},
                 log_weight weight = log_weight::always);
 
--- a/src/include/fescueridge/gateway/entry_port.hpp
+++ b/src/include/fescueridge/gateway/entry_port.hpp
@@ -49,6 +49,10 @@
     /// Uses a configuration for requests from now on.
     void use(std::shared_ptr<const route_table> table) { table_ = std::move(table); }
 
+    /// Refuses requests of clients from now on, since the process could end before them.
+    /// Calls of running requests still begin.
+    void refuse_clients() { refuses_clients_ = true; }
+
     /// Sets the service that requests of this VM come from.
     void set_caller(const service_name& caller) { caller_ = caller; }
 
@@ -86,6 +90,7 @@
     bool try_again(const request_ptr& request, const char* cause);
     void deliver(const request_ptr& request, forward_reply_message reply);
     void reject(const request_ptr& request, rejection why);
+    void answer(const request_ptr& request, http_response response);
     void on_timeout(const request_ptr& request);
     void on_client_left(const request_ptr& request);
     void withdraw(const request_ptr& request);
@@ -105,6 +110,7 @@
     peers& peers_;
     run_executor& executor_;
     service_name caller_;
+    bool refuses_clients_ = false;
     std::shared_ptr<const route_table> table_;
     std::unordered_map<route_name, weighted_picker> pickers_;
     std::unordered_map<std::uint64_t, request_ptr> requests_;
@@ -126,7 +132,7 @@
     time_point last_update_{};
     time_point next_shares_line_{};
     bool all_admitted_ = false; ///< The last line about shares said so.
-    double own_failure_share_ = 0;
+    failure_share own_failures_;
     entry_counters counters_;
     duration_metric latency_;
 };
--- a/src/include/fescueridge/gateway/peers.hpp
+++ b/src/include/fescueridge/gateway/peers.hpp
@@ -9,6 +9,7 @@
 
 #include "fescueridge/base/events.hpp"
 #include "fescueridge/gateway/decision_log.hpp"
+#include "fescueridge/gateway/failure_share.hpp"
 #include "fescueridge/gateway/settings.hpp"
 #include "fescueridge/transport/link_hub.hpp"
 
@@ -24,7 +25,7 @@
     time_point reported{};
     std::uint32_t sent_since_report = 0; ///< Requests sent since its load was told.
     std::uint32_t in_flight = 0;
-    double failure_share = 0; ///< Of the requests that it ran for this node, of late.
+    failure_share failures; ///< Of the requests that it ran for this node.
     time_point next_dial{};
     milliseconds dial_pause{0};
 };
--- a/src/include/fescueridge/gateway/run_executor.hpp
+++ b/src/include/fescueridge/gateway/run_executor.hpp
@@ -81,6 +81,10 @@
     bool accepts() const { return !stopping_ && tracker_.accepts(); }
     std::size_t open_runs() const noexcept { return runs_.size(); }
     server_load load() const;
+    std::uint32_t limit() const noexcept { return queue_.limit(); }
+
+    /// Mean time at the server of late, in milliseconds; 0 when unknown.
+    double service_ms() const noexcept { return queue_.slot_ms(); }
     const std::optional<server_record>& server() const { return tracker_.server(); }
 
     /// Fills in what this node reports about its server.
@@ -107,11 +111,11 @@
         callback done;
         time_point deadline;
         time_point sent{};
-        fingerprint print;
         http_call_handle handle;
         bool cancelled = false;
     };
 
+    std::optional<forward_failure> reason_to_refuse(const forward_message& call) const;
     void note_change(server_change change, const std::string& cause);
     void start(run_number number);
     void on_result(run_number number, http_result result);
--- a/src/include/fescueridge/gateway/server_tracker.hpp
+++ b/src/include/fescueridge/gateway/server_tracker.hpp
@@ -29,8 +29,9 @@
 class server_tracker
 {
 public:
-    explicit server_tracker(milliseconds heartbeat_interval)
-        : heartbeat_interval_(heartbeat_interval)
+    /// `service` is the service of this VM's server until the server names one itself.
+    server_tracker(service_name service, milliseconds heartbeat_interval)
+        : service_(std::move(service)), heartbeat_interval_(heartbeat_interval)
     {
     }
 
@@ -42,11 +43,11 @@
     server_change on_memory_of_peer(const server_record& server);
 
     /// Records that the server does not answer or does not accept connections.
-    server_change on_no_answer(time_point now);
+    server_change on_no_answer();
 
     /// Records a sign of life: a health check that the server with this id passed.
-    server_change on_healthy(const instance_id& id, const service_name& service,
-                             slot_count assumed_slots, time_point now);
+    server_change on_healthy(const instance_id& id, slot_count assumed_slots,
+                             time_point now);
 
     /// Records an answer to a request.
     server_change on_answer();
@@ -64,6 +65,7 @@
 private:
     server_change begin(const server_record& server, time_point now);
 
+    service_name service_;
     milliseconds heartbeat_interval_;
     std::optional<server_record> server_;
     std::int64_t latest_born_ms_ = 0;
--- a/src/include/fescueridge/gateway/topic_follower.hpp
+++ b/src/include/fescueridge/gateway/topic_follower.hpp
@@ -15,9 +15,6 @@
 {
     /// A record, as listed at the start or appended later. May repeat older values.
     std::function<void(const keyed_record&)> on_record;
-
-    /// All keys have been listed, at the start or anew after records were lost.
-    std::function<void()> on_listed;
 };
 
 /// Follows a topic: lists the newest record of each key, then waits for new records.
@@ -32,12 +29,6 @@
     void start();
     void stop();
 
-    /// Returns the time of the last answer of the log.
-    time_point last_contact() const noexcept { return last_contact_; }
-
-    /// Tells whether all keys have been listed at least once.
-    bool listed() const noexcept { return listed_; }
-
 private:
     void list(const std::string& after);
     void read();
@@ -54,8 +45,6 @@
     asio::steady_timer timer_;
     log_offset next_;
     milliseconds pause_{0};
-    time_point last_contact_{};
-    bool listed_ = false;
     bool lost_ = false;
     bool stopped_ = false;
     std::string last_key_;
--- a/src/include/fescueridge/gateway/wire_format.hpp
+++ b/src/include/fescueridge/gateway/wire_format.hpp
@@ -36,6 +36,7 @@
     no_config,     ///< The node does not know any configuration yet; not run.
     overload,      ///< The services behind the route lack the capacity; not run.
     no_server,     ///< No backend server could take the request; not run.
+    stopping,      ///< The node ends soon; not run.
     quarantined,   ///< Earlier runs of the request crashed backend servers; not run.
     server_failed, ///< The server broke off; the request may have run.
     link_failed,   ///< The node beside the server was lost; the request may have run.
--- a/src/overload/limit_policy.cpp
+++ b/src/overload/limit_policy.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <limits>
 
+#include "fescueridge/base/overloaded.hpp"
+
 namespace fescueridge
 {
 
@@ -30,14 +32,6 @@
 constexpr milliseconds bucket_length{30'000};
 constexpr std::size_t bucket_count = 10;
 
-template <class... Fs>
-struct overloaded : Fs...
-{
-    using Fs::operator()...;
-};
-template <class... Fs>
-overloaded(Fs...) -> overloaded<Fs...>;
-
 } // namespace
 
 adaptive_limit::adaptive_limit(slot_count slots)
