--- a/src/include/fescueridge/gateway/settings.hpp
+++ b/src/include/fescueridge/gateway/settings.hpp
@@ -28,7 +28,7 @@
     endpoint listen_ready;
     endpoint listen_announcements;
     endpoint listen_link;
-    endpoint advertised_link; ///< Where other nodes reach listen_link.
+    endpoint advertised_link;               ///< Where other nodes reach listen_link.
     milliseconds heartbeat_interval{1'500}; ///< Of backend servers.
     service_bounds bounds;
     topic_name config_topic;
