Serve latency histograms on the metrics address

Cause: the users ask for latency histograms; nodes served quantiles of the last 10 s, which cannot be added up over nodes or read for a time that has passed.

Ruled out: Boost.Accumulators, whose densities choose their own bins.

Change: latency_histogram with fixed buckets over Boost.Histogram; times of requests by service and outcome, and of runs at the server. The quantiles are gone.

--- a/src/gateway/entry_port.cpp
+++ b/src/gateway/entry_port.cpp
@@ -41,6 +41,20 @@
 
 } // namespace
 
+std::string_view to_string(request_outcome value) noexcept
+{
+    switch (value)
+    {
+    case request_outcome::answered:
+        return "answered";
+    case request_outcome::failed:
+        return "failed";
+    case request_outcome::refused:
+        return "refused";
+    }
+    return "failed";
+}
+
 struct entry_port::request_state
 {
     explicit request_state(asio::io_context& io) : timer(io) {}
@@ -363,17 +377,18 @@
 void entry_port::deliver(const request_ptr& request, forward_reply_message reply)
 {
     ++counters_.answered;
-    const auto now = clock::now();
-    latency_.add(now - request->arrival, now);
     const bool failure = reply.status >= first_failure_status;
     log_request(log_event::request_answered, *request,
                 failure ? log_weight::failure : log_weight::success,
                 {{"status", std::int64_t{reply.status}}});
-    answer(request, {reply.status, std::move(reply.headers), std::move(reply.body)});
+    answer(request, failure ? request_outcome::failed : request_outcome::answered,
+           {reply.status, std::move(reply.headers), std::move(reply.body)});
 }
 
-void entry_port::answer(const request_ptr& request, http_response response)
+void entry_port::answer(const request_ptr& request, request_outcome outcome,
+                        http_response response)
 {
+    latencies_[{request->message.service, outcome}].add(clock::now() - request->arrival);
     const auto exchange = request->exchange;
     end(request);
     exchange->respond(std::move(response));
@@ -404,7 +419,8 @@
     const auto wait = promises_not_run(why)
                           ? std::optional<milliseconds>(retry_after(*request))
                           : std::nullopt;
-    answer(request, wire_.make_rejection(why, request->message.request, wait));
+    answer(request, wait ? request_outcome::refused : request_outcome::failed,
+           wire_.make_rejection(why, request->message.request, wait));
 }
 
 void entry_port::on_timeout(const request_ptr& request)
--- a/src/gateway/metrics_text.cpp
+++ b/src/gateway/metrics_text.cpp
@@ -7,6 +7,12 @@
 namespace
 {
 
+double in_seconds(milliseconds time)
+{
+    constexpr double ms_per_s = 1000;
+    return static_cast<double>(time.count()) / ms_per_s;
+}
+
 class text_writer
 {
 public:
@@ -19,6 +25,19 @@
             out_ += fmt::format("fescueridge_{}{{{}}} {}\n", name, labels, value);
     }
 
+    void add_histogram(std::string_view name, const std::string& labels,
+                       const latency_histogram& values)
+    {
+        const auto bucket_name = fmt::format("{}_bucket", name);
+        const std::string before = labels.empty() ? "" : labels + ",";
+        for (const auto& bucket : values.buckets())
+            add(bucket_name, fmt::format("{}le=\"{}\"", before, in_seconds(bucket.bound)),
+                bucket.count);
+        add(bucket_name, before + "le=\"+Inf\"", values.count());
+        add(fmt::format("{}_sum", name), labels, in_seconds(values.sum()));
+        add(fmt::format("{}_count", name), labels, values.count());
+    }
+
     std::string take() { return std::move(out_); }
 
 private:
@@ -36,10 +55,11 @@
     for (const auto& [why, count] : counters.rejected)
         out.add("requests_rejected_total", fmt::format("reason=\"{}\"", to_string(why)),
                 count);
-    const auto latency = entry.latency().summary(clock::now());
-    out.add("request_milliseconds", "quantile=\"0.5\"", latency.p50);
-    out.add("request_milliseconds", "quantile=\"0.95\"", latency.p95);
-    out.add("request_milliseconds", "quantile=\"0.99\"", latency.p99);
+    for (const auto& [of, latency] : entry.latencies())
+        out.add_histogram("request_duration_seconds",
+                          fmt::format("service=\"{}\",outcome=\"{}\"", of.first.get(),
+                                      to_string(of.second)),
+                          latency);
     for (const auto& load : entry.arrivals())
     {
         for (const bool returned : {false, true})
@@ -71,6 +91,7 @@
     out.add("server_limit", "", report.limit);
     out.add("server_queue_wait_milliseconds", "", report.queue_wait_ms);
     out.add("server_slot_milliseconds", "", report.service_ms);
+    out.add_histogram("run_duration_seconds", "", executor.run_times());
 }
 
 } // namespace
--- a/src/gateway/run_executor.cpp
+++ b/src/gateway/run_executor.cpp
@@ -344,6 +344,7 @@
     if (answer.status < first_failure_status && !suspects_.empty())
         suspects_.on_completed(print_of(ended.call));
     ++counters_.answered;
+    run_times_.add(last_answer_ - ended.sent);
     forward_reply_message reply = make_reply(forward_result::answered, {});
     reply.status = answer.status;
     reply.headers = std::move(answer.headers);
--- a/src/include/fescueridge/gateway/entry_port.hpp
+++ b/src/include/fescueridge/gateway/entry_port.hpp
@@ -6,7 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "fescueridge/base/metrics.hpp"
+#include "fescueridge/base/latency_histogram.hpp"
 #include "fescueridge/base/random.hpp"
 #include "fescueridge/gateway/admission_plan.hpp"
 #include "fescueridge/gateway/origin_tracker.hpp"
@@ -31,6 +31,21 @@
     std::map<rejection, std::uint64_t> rejected;
 };
 
+/// What became of a request, for metrics.
+enum class request_outcome : std::uint8_t
+{
+    answered, ///< By a server, with a status under 500.
+    failed,   ///< By a server with another status, or it may have run without an answer.
+    refused   ///< Not run.
+};
+
+/// Returns the stable name of an outcome, for metrics.
+std::string_view to_string(request_outcome value) noexcept;
+
+/// Times from the arrival of requests to their answers, by service and outcome.
+using request_latencies =
+    std::map<std::pair<service_name, request_outcome>, latency_histogram>;
+
 /// Takes the requests of clients and of the backend server on this VM, decides whether
 /// they begin, chooses servers for them and answers them. Used from one io thread.
 class entry_port
@@ -71,7 +86,7 @@
 
     std::size_t open_requests() const noexcept { return requests_.size(); }
     const entry_counters& counters() const noexcept { return counters_; }
-    const duration_metric& latency() const noexcept { return latency_; }
+    const request_latencies& latencies() const noexcept { return latencies_; }
     const request_thinner& shares() const noexcept { return thinner_; }
 
 private:
@@ -90,7 +105,8 @@
     bool try_again(const request_ptr& request, const char* cause);
     void deliver(const request_ptr& request, forward_reply_message reply);
     void reject(const request_ptr& request, rejection why);
-    void answer(const request_ptr& request, http_response response);
+    void answer(const request_ptr& request, request_outcome outcome,
+                http_response response);
     void on_timeout(const request_ptr& request);
     void on_client_left(const request_ptr& request);
     void withdraw(const request_ptr& request);
@@ -134,7 +150,7 @@
     bool all_admitted_ = false; ///< The last line about shares said so.
     failure_share own_failures_;
     entry_counters counters_;
-    duration_metric latency_;
+    request_latencies latencies_;
 };
 
 } // namespace fescueridge::gateway
--- a/src/include/fescueridge/gateway/run_executor.hpp
+++ b/src/include/fescueridge/gateway/run_executor.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <unordered_map>
 
+#include "fescueridge/base/latency_histogram.hpp"
 #include "fescueridge/gateway/call_graph.hpp"
 #include "fescueridge/gateway/crash_suspects.hpp"
 #include "fescueridge/gateway/decision_log.hpp"
@@ -102,6 +103,9 @@
     const executor_counters& counters() const noexcept { return counters_; }
     std::uint64_t connections_opened() const;
 
+    /// Times from sending a request to the server to its whole answer.
+    const latency_histogram& run_times() const noexcept { return run_times_; }
+
     void close();
 
 private:
@@ -155,6 +159,7 @@
     bool probing_ = false;
     bool stopping_ = false;
     executor_counters counters_;
+    latency_histogram run_times_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
