Add a fault soak of gateway nodes as real processes

Change: platform/testsuite/gateway_soak runs gateway nodes with their links, their way to the log and to the backend servers behind fault proxies. Storms of faults alternate with planned work alone, so that the promises that hold in calm are judged too. Everything is judged by what clients and backend servers saw: runs of requests that may run once, false refusals, answers of others, changed requests, requests cut by a stop in calm, runs after an acknowledged leaving, versions that go back or come late, recovery, processes that end by themselves. Not covered: clocks that jump (no decision uses the time of day) and disks (there are none).

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 TYPE ?= RelWithDebInfo
 
-.PHONY: all packages configure build test check-spec demo bench capacity soak fuzz format lint clean
+.PHONY: all packages configure build test check-spec demo bench capacity soak gateway-soak fuzz format lint clean
 
 all: build
 
@@ -48,6 +48,12 @@
 soak: build
 	@python3 scripts/soak.py $(BUILD) --seconds $(SECONDS) --seed $(SEED)
 
+# make gateway-soak SECONDS=40 SEED=7 COPIES=10: gateway nodes behind proxies
+COPIES ?= 1
+gateway-soak: build
+	@python3 platform/testsuite/gateway_soak/soak.py $(BUILD) --seconds $(SECONDS) \
+		--seed $(SEED) --copies $(COPIES)
+
 # make fuzz INPUTS=1000000 SEED=3: mutated input for every reader of messages and files
 INPUTS ?= 100000
 fuzz: build
