Read records of nodes in batches; report more rarely in large fleets

Every node waits for records of the nodes topic, so each restart of one process wakes 72 reads; every node reports to 72 others four times a second.

Ruled out: not following the topic at all. A node that could not publish for a while would be found by nobody that starts meanwhile.

Change: topic_follower rests 2 s after records of nodes before it reads on; links tell of new nodes at once. report_schedule sets the interval by the number of peers, 250 ms up to 25 and 700 ms at most; calls and slot times go with each report in the first 15 s and once a second later.

--- a/src/gateway/cluster_records.cpp
+++ b/src/gateway/cluster_records.cpp
@@ -10,6 +10,10 @@
 
 constexpr milliseconds operation_timeout{1'000};
 constexpr milliseconds publish_pause{500};
+/// Records of nodes are read in batches. A node that starts dials all nodes that it
+/// finds, and links tell of it meanwhile.
+constexpr milliseconds nodes_rest{2'000};
+
 constexpr const char* calls_key = "calls";
 
 } // namespace
@@ -26,7 +30,7 @@
         take_node(record);
     };
     nodes_ = std::make_shared<topic_follower>(io, log_, decisions_, settings_.nodes_topic,
-                                              std::move(nodes));
+                                              std::move(nodes), nodes_rest);
 }
 
 void cluster_records::start()
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -7,6 +7,7 @@
 #include "fescueridge/base/error.hpp"
 #include "fescueridge/gateway/cluster_records.hpp"
 #include "fescueridge/gateway/entry_port.hpp"
+#include "fescueridge/gateway/report_schedule.hpp"
 #include "fescueridge/gateway/topic_follower.hpp"
 #include "metrics_text.hpp"
 
@@ -17,13 +18,7 @@
 
 constexpr milliseconds poll_interval{50};
 constexpr milliseconds shares_interval{100};
-constexpr milliseconds report_interval{250};
-
-/// Calls and slot times change slowly: one report in this many carries them, but each one
-/// of the first reports of a process.
-constexpr unsigned learned_in_reports = 4;
-constexpr unsigned first_reports = 60;
-
+constexpr milliseconds fade_interval{1'000};
 /// After the stop signal clients are told by the readiness check, which is made once a
 /// second; two misses take the node out. Clients that still send requests after this time
 /// are told to return: the process could end before their requests.
@@ -74,7 +69,7 @@
     void on_report(const peer& from);
 
     node_report_message make_report(bool with_learned);
-    void send_reports();
+    void send_report();
     void report_change();
     void check_stop();
     void finish();
@@ -97,7 +92,7 @@
     std::string config_text_;
     std::map<std::pair<link*, std::uint64_t>, run_number> remote_runs_;
     std::vector<timer_ptr> timers_;
-    unsigned reports_ = 0;
+    report_schedule reports_{clock::now()};
     bool change_pending_ = false;
     time_point next_pull_{};
     std::optional<time_point> stopping_since_;
@@ -155,7 +150,8 @@
           });
     every(learned_interval, [this] { write_learned(); });
     every(shares_interval, [this] { entry_.update_shares(); });
-    every(report_interval, [this] { send_reports(); });
+    every(poll_interval, [this] { send_report(); });
+    every(fade_interval, [this] { executor_.fade_graph(); });
     decisions_.record(log_event::node_started,
                       {{"domain", settings_.domain.get()},
                        {"service", settings_.service.get()},
@@ -406,12 +402,11 @@
     return report;
 }
 
-void gateway_node::impl::send_reports()
+void gateway_node::impl::send_report()
 {
-    const bool second_passed = ++reports_ % learned_in_reports == 0;
-    peers_.broadcast(make_report(second_passed || reports_ <= first_reports));
-    if (second_passed)
-        executor_.fade_graph();
+    const auto due = reports_.poll(clock::now(), peers_.linked());
+    if (due)
+        peers_.broadcast(make_report(due->with_learned));
 }
 
 // Several changes of one moment are told once.
--- /dev/null
+++ b/src/gateway/report_schedule.cpp
@@ -0,0 +1,35 @@
+#include "fescueridge/gateway/report_schedule.hpp"
+
+#include <algorithm>
+
+namespace fescueridge::gateway
+{
+namespace
+{
+
+constexpr milliseconds shortest_interval{250};
+constexpr milliseconds interval_for_each_peer{10};
+
+/// Two reports must fit into the time for which one counts (fleet_view).
+constexpr milliseconds longest_interval{700};
+
+constexpr milliseconds learned_interval{1'000};
+
+/// A process tells all that it learns at first: the others know nothing of the calls.
+constexpr milliseconds eager_time{15'000};
+
+} // namespace
+
+std::optional<due_report> report_schedule::poll(time_point now, std::size_t peers)
+{
+    if (now < next_report_)
+        return std::nullopt;
+    const auto wanted = interval_for_each_peer * static_cast<std::int64_t>(peers);
+    next_report_ = now + std::clamp(wanted, shortest_interval, longest_interval);
+    const bool with_learned = now - start_ < eager_time || now >= next_learned_;
+    if (with_learned)
+        next_learned_ = now + learned_interval;
+    return due_report{with_learned};
+}
+
+} // namespace fescueridge::gateway
--- /dev/null
+++ b/src/gateway/report_schedule_test.cpp
@@ -0,0 +1,57 @@
+#include <criterion/criterion.h>
+
+#include "fescueridge/gateway/report_schedule.hpp"
+
+using namespace fescueridge;
+using namespace fescueridge::gateway;
+
+namespace
+{
+
+const time_point start{milliseconds{1'000'000}};
+
+struct counts
+{
+    unsigned reports = 0;
+    unsigned with_learned = 0;
+};
+
+counts play(std::size_t peers, milliseconds from, milliseconds to)
+{
+    report_schedule schedule(start);
+    counts result;
+    for (milliseconds at{0}; at < to; at += milliseconds{50})
+    {
+        const auto due = schedule.poll(start + at, peers);
+        if (!due || at < from)
+            continue;
+        ++result.reports;
+        result.with_learned += due->with_learned ? 1 : 0;
+    }
+    return result;
+}
+
+} // namespace
+
+Test(report_schedule, reports_four_times_a_second_in_a_small_fleet)
+{
+    const auto later = play(16, milliseconds{20'000}, milliseconds{30'000});
+    cr_expect_eq(later.reports, 40U);
+    cr_expect_eq(later.with_learned, 10U);
+}
+
+// Guards against reports that grow with the square of the fleet, and against reports so
+// rare that one that is lost makes the node count as gone (after 1.5 s).
+Test(report_schedule, reports_more_rarely_in_a_large_fleet)
+{
+    const auto later = play(72, milliseconds{20'000}, milliseconds{30'000});
+    cr_expect_leq(later.reports, 15U);
+    cr_expect_eq(play(1'000, milliseconds{20'000}, milliseconds{30'000}).reports,
+                 later.reports);
+}
+
+Test(report_schedule, tells_all_that_it_learns_at_first)
+{
+    const auto first = play(16, milliseconds{0}, milliseconds{10'000});
+    cr_expect_eq(first.with_learned, first.reports);
+}
--- a/src/gateway/topic_follower.cpp
+++ b/src/gateway/topic_follower.cpp
@@ -22,9 +22,9 @@
 
 topic_follower::topic_follower(asio::io_context& io, keyed_log& log,
                                decision_log& decisions, topic_name topic,
-                               topic_callbacks callbacks)
+                               topic_callbacks callbacks, milliseconds rest)
     : log_(log), decisions_(decisions), topic_(std::move(topic)),
-      callbacks_(std::move(callbacks)), timer_(io)
+      callbacks_(std::move(callbacks)), rest_(rest), timer_(io)
 {
 }
 
@@ -92,8 +92,11 @@
                            {"records", static_cast<std::int64_t>(batch.unreadable)}});
     for (const auto& record : batch.records)
         callbacks_.on_record(record);
-    if (!stopped_)
-        read();
+    if (stopped_)
+        return;
+    if (rest_ == milliseconds{0} || batch.records.empty())
+        return read();
+    after(rest_, [this] { read(); });
 }
 
 void topic_follower::contact()
@@ -128,7 +131,12 @@
 void topic_follower::after_pause(const std::function<void()>& next)
 {
     pause_ = std::clamp(2 * pause_, first_pause, longest_pause);
-    timer_.expires_after(pause_);
+    after(pause_, next);
+}
+
+void topic_follower::after(milliseconds pause, const std::function<void()>& next)
+{
+    timer_.expires_after(pause);
     timer_.async_wait(
         [weak = weak_from_this(), next](asio::error_code ec)
         {
--- /dev/null
+++ b/src/gateway/topic_follower_test.cpp
@@ -0,0 +1,102 @@
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <criterion/criterion.h>
+
+#include "fescueridge/gateway/topic_follower.hpp"
+
+using namespace fescueridge;
+using namespace fescueridge::gateway;
+
+namespace
+{
+
+/// A log in memory with one topic; a read ends when there is a record to return.
+class memory_log : public keyed_log
+{
+public:
+    explicit memory_log(asio::io_context& io) : io_(io) {}
+
+    void newest(const topic_name&, const std::string&, milliseconds,
+                std::function<void(log_result<newest_page>)> done) override
+    {
+        newest_page page;
+        page.end = log_offset(records_.size());
+        asio::post(io_, [done, page] { done(page); });
+    }
+
+    void read(const topic_name&, log_offset from, milliseconds, milliseconds,
+              std::function<void(log_result<record_batch>)> done) override
+    {
+        ++reads;
+        waiting_ = std::move(done);
+        from_ = from.get();
+        answer();
+    }
+
+    void append(const topic_name&, const keyed_record& record, milliseconds,
+                std::function<void(log_result<append_receipt>)> done) override
+    {
+        records_.push_back(record);
+        asio::post(io_, [done] { done(append_receipt{}); });
+        answer();
+    }
+
+    unsigned reads = 0;
+
+private:
+    void answer()
+    {
+        if (!waiting_ || from_ >= records_.size())
+            return;
+        record_batch batch;
+        batch.records.assign(records_.begin() + static_cast<std::ptrdiff_t>(from_),
+                             records_.end());
+        batch.next = log_offset(records_.size());
+        asio::post(io_, [done = std::exchange(waiting_, {}), batch] { done(batch); });
+    }
+
+    asio::io_context& io_;
+    std::vector<keyed_record> records_;
+    std::function<void(log_result<record_batch>)> waiting_;
+    std::uint64_t from_ = 0;
+};
+
+} // namespace
+
+// Guards against a read for each record: when 73 nodes start or are restarted, each of
+// them read the log 73 times, and those calls were the largest price of such days.
+Test(topic_follower, reads_records_in_batches_when_it_rests_between_reads)
+{
+    asio::io_context io;
+    memory_log log(io);
+    decision_log decisions(io, node_id("vm-1"));
+    unsigned taken = 0;
+    topic_callbacks callbacks;
+    callbacks.on_record = [&](const keyed_record&)
+    {
+        ++taken;
+    };
+    const auto follower =
+        std::make_shared<topic_follower>(io, log, decisions, topic_name("keyed.nodes"),
+                                         std::move(callbacks), milliseconds{200});
+    follower->start();
+    asio::steady_timer timer(io);
+    unsigned left = 50;
+    std::function<void()> append_next = [&]
+    {
+        timer.expires_after(milliseconds{10});
+        timer.async_wait(
+            [&](asio::error_code)
+            {
+                log.append(topic_name("keyed.nodes"), {"vm", "record"}, milliseconds{100},
+                           [](const log_result<append_receipt>&) {});
+                if (--left > 0)
+                    append_next();
+            });
+    };
+    append_next();
+    io.run_for(std::chrono::milliseconds(1'200));
+    follower->stop();
+    cr_expect_eq(taken, 50U);
+    cr_expect_leq(log.reads, 8U, "%u reads", log.reads);
+}
--- a/src/include/fescueridge/gateway/topic_follower.hpp
+++ b/src/include/fescueridge/gateway/topic_follower.hpp
@@ -23,8 +23,10 @@
 class topic_follower : public std::enable_shared_from_this<topic_follower>
 {
 public:
+    /// `rest` is the least time from an answer with records to the next read.
     topic_follower(asio::io_context& io, keyed_log& log, decision_log& decisions,
-                   topic_name topic, topic_callbacks callbacks);
+                   topic_name topic, topic_callbacks callbacks,
+                   milliseconds rest = milliseconds{0});
 
     void start();
     void stop();
@@ -37,11 +39,13 @@
     void failed(const log_failure& failure, bool listing);
     void contact();
     void after_pause(const std::function<void()>& next);
+    void after(milliseconds pause, const std::function<void()>& next);
 
     keyed_log& log_;
     decision_log& decisions_;
     topic_name topic_;
     topic_callbacks callbacks_;
+    milliseconds rest_;
     asio::steady_timer timer_;
     log_offset next_;
     milliseconds pause_{0};
