Split the entry port and the run executor into two files each

Cause: both files had over 500 lines and two jobs: taking and placing requests, and judging what comes back.

Change: entry_answers.cpp and run_executor_answers.cpp, with the state of a request in entry_request.hpp and what both share in run_replies.hpp.

Conclusion: no change of behaviour.

--- a/src/gateway/entry_port.cpp
+++ b/src/gateway/entry_port.cpp
@@ -4,6 +4,8 @@
 
 #include <asio/post.hpp>
 
+#include "entry_request.hpp"
+
 namespace fescueridge::gateway
 {
 namespace
@@ -15,25 +17,6 @@
 /// A server's own answer at the timeout may come this much later.
 constexpr milliseconds answer_margin{20};
 
-/// Share of a route that is admitted from which a soon return is likely to succeed.
-constexpr double slight_overload_share = 0.7;
-
-/// Bounds of Retry-After under slight overload, as parts of the route's target latency:
-/// an answer is then still in time.
-constexpr double soon_return_from = 0.15;
-constexpr double soon_return_to = 0.4;
-
-/// Bounds of Retry-After under heavy overload, as parts of the longest wait that clients
-/// follow: the surge has the most time to pass.
-constexpr double late_return_from = 0.7;
-constexpr double late_return_to = 1.0;
-
-/// Clients follow a Retry-After up to this part of the time that they have left.
-constexpr double usable_wait_share = 1.0 / 3;
-
-constexpr int first_failure_status = 500;
-constexpr int gateway_timeout_status = 504;
-
 std::string_view path_of(std::string_view target)
 {
     return target.substr(0, target.find('?'));
@@ -41,45 +24,6 @@
 
 } // namespace
 
-std::string_view to_string(request_outcome value) noexcept
-{
-    switch (value)
-    {
-    case request_outcome::answered:
-        return "answered";
-    case request_outcome::failed:
-        return "failed";
-    case request_outcome::refused:
-        return "refused";
-    }
-    return "failed";
-}
-
-struct entry_port::request_state
-{
-    explicit request_state(asio::io_context& io) : timer(io) {}
-
-    std::uint64_t number = 0;
-    std::shared_ptr<http_exchange> exchange;
-    std::shared_ptr<const route_table> table;
-    const route* way = nullptr;
-    forward_message message;
-    time_point arrival{};
-    time_point client_deadline{};
-    time_point answer_by{};
-    asio::steady_timer timer;
-    std::vector<node_id> tried;
-    node_id at;
-    unsigned placements = 0;
-    unsigned sends = 0; ///< Attempts that may have reached a backend server.
-    bool returned = false;
-    std::uint64_t forwarded = 0; ///< Number at the peers; 0 for none.
-    run_number local_run;
-    bool ended = false;
-
-    admission_class admitted_as() const { return {message.route, returned}; }
-};
-
 entry_port::entry_port(asio::io_context& io, const node_settings& settings,
                        const wire_format& wire, decision_log& decisions, peers& others,
                        run_executor& executor)
@@ -283,208 +227,6 @@
     place(request);
 }
 
-void entry_port::on_reply(const request_ptr& request, forward_reply_message reply)
-{
-    request->forwarded = 0;
-    request->local_run = run_number(0);
-    const bool failed = reply.result == forward_result::unknown ||
-                        (reply.result == forward_result::answered &&
-                         reply.status >= first_failure_status &&
-                         reply.status != gateway_timeout_status) ||
-                        reply.failure == forward_failure::server_rejected;
-    const bool says_nothing = reply.result == forward_result::not_run && !failed;
-    if (!says_nothing && request->at == settings_.node)
-        own_failures_.record(failed);
-    else if (!says_nothing)
-        peers_.record_outcome(request->at, failed);
-    switch (reply.result)
-    {
-    case forward_result::not_run:
-        return on_not_run(request, reply);
-    case forward_result::unknown:
-        if (try_again(request, "no_whole_answer"))
-            return;
-        if (reply.failure == forward_failure::deadline)
-            return reject(request, rejection::timeout);
-        return reject(request, reply.failure == forward_failure::link_lost
-                                   ? rejection::link_failed
-                                   : rejection::server_failed);
-    case forward_result::answered:
-        if (failed && try_again(request, "server_reports_failure"))
-            return;
-        return deliver(request, std::move(reply));
-    }
-}
-
-void entry_port::on_not_run(const request_ptr& request,
-                            const forward_reply_message& reply)
-{
-    --request->sends;
-    // An earlier attempt may have run: then nothing may be promised.
-    const bool may_have_run = request->sends > 0;
-    if (reply.failure == forward_failure::quarantined)
-        return reject(request,
-                      may_have_run ? rejection::server_failed : rejection::quarantined);
-    if (reply.failure == forward_failure::deadline)
-        return reject(request, may_have_run ? rejection::timeout : rejection::overload);
-    // A rejection by the server counts as an arrival there, so the next one is a repeat.
-    if (reply.failure == forward_failure::server_rejected &&
-        !retries_.try_spend(request->message.service, {}, !request->message.from_server,
-                            clock::now()))
-        return reject(request,
-                      may_have_run ? rejection::server_failed : rejection::overload);
-    place(request);
-}
-
-bool entry_port::try_again(const request_ptr& request, const char* cause)
-{
-    const auto& message = request->message;
-    const auto now = clock::now();
-    const bool may_repeat = message.repeat == repeat_rule::idempotent &&
-                            request->sends < request->way->max_servers &&
-                            thinner_.share(request->admitted_as()) >= 1;
-    // A repeat that cannot end in time would only add load.
-    const bool in_time = request->answer_by - now > message.target_latency / 4;
-    if (!may_repeat || !in_time || candidates(*request).empty() ||
-        !retries_.try_spend(message.service, downstream_calls(message.route),
-                            !message.from_server, now))
-        return false;
-    ++counters_.retried;
-    log_request(log_event::request_retried, *request, log_weight::failure,
-                {{"cause", std::string(cause)}, {"failed_at", request->at.get()}});
-    place(request);
-    return true;
-}
-
-std::map<service_name, double> entry_port::downstream_calls(const route_name& route) const
-{
-    std::map<service_name, double> calls;
-    std::vector<std::pair<route_name, double>> open{{route, 1.0}};
-    for (std::size_t i = 0; i < open.size() && i < max_call_depth; ++i)
-    {
-        const auto [from, times] = open[i];
-        for (const auto& edge : edges_)
-        {
-            const auto* callee = table_ ? table_->find(edge.to) : nullptr;
-            if (edge.from != from || !callee || callee->targets.empty())
-                continue;
-            calls[callee->targets.front().service] += times * edge.calls_per_run;
-            open.emplace_back(edge.to, times * edge.calls_per_run);
-        }
-    }
-    return calls;
-}
-
-void entry_port::deliver(const request_ptr& request, forward_reply_message reply)
-{
-    ++counters_.answered;
-    const bool failure = reply.status >= first_failure_status;
-    log_request(log_event::request_answered, *request,
-                failure ? log_weight::failure : log_weight::success,
-                {{"status", std::int64_t{reply.status}}});
-    answer(request, failure ? request_outcome::failed : request_outcome::answered,
-           {reply.status, std::move(reply.headers), std::move(reply.body)});
-}
-
-void entry_port::answer(const request_ptr& request, request_outcome outcome,
-                        http_response response)
-{
-    latencies_[{request->message.service, outcome}].add(clock::now() - request->arrival);
-    const auto exchange = request->exchange;
-    end(request);
-    exchange->respond(std::move(response));
-}
-
-milliseconds entry_port::retry_after(const request_state& request)
-{
-    if (!request.way)
-        return milliseconds{200};
-    const auto target = static_cast<double>(request.message.target_latency.count());
-    const auto left =
-        static_cast<double>((request.client_deadline - clock::now()).count());
-    const double longest = usable_wait_share * left;
-    const bool soon = thinner_.share(request.admitted_as()) >= slight_overload_share;
-    std::uniform_real_distribution<double> part(soon ? soon_return_from
-                                                     : late_return_from,
-                                                soon ? soon_return_to : late_return_to);
-    const double wait = std::min(part(random_) * (soon ? target : longest), longest);
-    return milliseconds(std::max<std::int64_t>(1, static_cast<std::int64_t>(wait)));
-}
-
-void entry_port::reject(const request_ptr& request, rejection why)
-{
-    ++counters_.rejected[why];
-    log_request(
-        log_event::request_rejected, *request, log_weight::failure,
-        {{"reason", std::string(to_string(why))}, {"not_run", promises_not_run(why)}});
-    const auto wait = promises_not_run(why)
-                          ? std::optional<milliseconds>(retry_after(*request))
-                          : std::nullopt;
-    answer(request, wait ? request_outcome::refused : request_outcome::failed,
-           wire_.make_rejection(why, request->message.request, wait));
-}
-
-void entry_port::on_timeout(const request_ptr& request)
-{
-    withdraw(request);
-    reject(request, rejection::timeout);
-}
-
-void entry_port::on_client_left(const request_ptr& request)
-{
-    if (request->ended)
-        return;
-    ++counters_.abandoned;
-    log_request(log_event::request_abandoned, *request, log_weight::failure, {});
-    withdraw(request);
-    end(request);
-}
-
-void entry_port::withdraw(const request_ptr& request)
-{
-    if (request->forwarded != 0)
-        peers_.cancel(request->forwarded);
-    else if (request->local_run.get() != 0)
-        executor_.cancel(request->local_run);
-}
-
-void entry_port::end(const request_ptr& request)
-{
-    request->ended = true;
-    request->timer.cancel();
-    requests_.erase(request->number);
-}
-
-void entry_port::log_request(log_event event, const request_state& request,
-                             log_weight weight, std::vector<event_field> more)
-{
-    const auto& message = request.message;
-    if (!decisions_.wants(weight, message.request))
-        return;
-    const auto now = clock::now();
-    std::vector<event_field> fields{
-        {"request", message.request.get()},
-        {"route", message.route.get()},
-        {"service", message.service.get()},
-        {"config", static_cast<std::int64_t>(
-                       request.table ? request.table->config().version.get() : 0)},
-        {"from_server", message.from_server},
-        {"priority", std::int64_t{message.rank.get()}},
-        {"age_ms", static_cast<std::int64_t>((now - request.arrival).count())},
-        {"left_ms", static_cast<std::int64_t>((request.answer_by - now).count())},
-        {"server_node", request.at.get()},
-        {"sends", std::int64_t{request.sends}},
-        {"placements", std::int64_t{request.placements}},
-        {"share", thinner_.share(request.admitted_as())},
-        {"returned", request.returned}};
-    if (const auto known = peers_.all().find(request.at); known != peers_.all().end())
-        fields.push_back({"report_age_ms", static_cast<std::int64_t>(
-                                               (now - known->second.reported).count())});
-    fields.insert(fields.end(), std::make_move_iterator(more.begin()),
-                  std::make_move_iterator(more.end()));
-    decisions_.record(event, fields, weight);
-}
-
 std::vector<route_arrivals> entry_port::arrivals() const
 {
     constexpr double least_rate = 0.05;
--- /dev/null
+++ b/src/gateway/entry_request.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "fescueridge/gateway/entry_port.hpp"
+
+namespace fescueridge::gateway
+{
+
+/// A request of a client or a call of a backend server, from its arrival to its answer.
+struct entry_port::request_state
+{
+    explicit request_state(asio::io_context& io) : timer(io) {}
+
+    std::uint64_t number = 0;
+    std::shared_ptr<http_exchange> exchange;
+    std::shared_ptr<const route_table> table;
+    const route* way = nullptr;
+    forward_message message;
+    time_point arrival{};
+    time_point client_deadline{};
+    time_point answer_by{};
+    asio::steady_timer timer;
+    std::vector<node_id> tried;
+    node_id at;
+    unsigned placements = 0;
+    unsigned sends = 0; ///< Attempts that may have reached a backend server.
+    bool returned = false;
+    std::uint64_t forwarded = 0; ///< Number at the peers; 0 for none.
+    run_number local_run;
+    bool ended = false;
+
+    admission_class admitted_as() const { return {message.route, returned}; }
+};
+
+} // namespace fescueridge::gateway
