--- a/src/gateway/topic_follower_test.cpp
+++ b/src/gateway/topic_follower_test.cpp
@@ -76,9 +76,8 @@
     {
         ++taken;
     };
-    const auto follower =
-        std::make_shared<topic_follower>(io, log, decisions, topic_name("keyed.nodes"),
-                                         std::move(callbacks), milliseconds{200});
+    const auto follower = std::make_shared<topic_follower>(
+        io, log, decisions, topic_name("nodes"), std::move(callbacks), milliseconds{200});
     follower->start();
     asio::steady_timer timer(io);
     unsigned left = 50;
@@ -88,7 +87,7 @@
         timer.async_wait(
             [&](asio::error_code)
             {
-                log.append(topic_name("keyed.nodes"), {"vm", "record"}, milliseconds{100},
+                log.append(topic_name("nodes"), {"vm", "record"}, milliseconds{100},
                            [](const log_result<append_receipt>&) {});
                 if (--left > 0)
                     append_next();
