Apply the size limits of the operators' configuration

Cause: max_header_bytes and max_body_bytes were read and never applied; fixed limits of 64 KiB and 16 MiB held at the entry. Ruled out: changing http-parser's own limit, which holds for the whole process and so for the links and the log client too. Change: message_limits replaces max_body of the HTTP server; the parser counts target and fields itself; requests that begin after a change get the new limits. The configuration holds one message_limits. A header limit over 64 KiB still ends at 64 KiB.

--- a/src/include/fescueridge/gateway/routing_config.hpp
+++ b/src/include/fescueridge/gateway/routing_config.hpp
@@ -9,6 +9,7 @@
 #include "fescueridge/base/clock.hpp"
 #include "fescueridge/base/types.hpp"
 #include "fescueridge/codec/gateway_messages.hpp"
+#include "fescueridge/transport/http.hpp"
 
 namespace fescueridge::gateway
 {
@@ -44,8 +45,7 @@
 /// Bounds on what a client may send and how long it may take.
 struct client_limits
 {
-    std::size_t max_header_bytes = 0;
-    std::size_t max_body_bytes = 0;
+    message_limits sizes;
     milliseconds header_timeout{0};
     milliseconds idle_timeout{0};
 };
--- a/src/include/fescueridge/transport/http.hpp
+++ b/src/include/fescueridge/transport/http.hpp
@@ -13,6 +13,14 @@
 /// Largest request line, status line and header block in bytes.
 constexpr std::size_t max_header_bytes = std::size_t{64} * 1024;
 
+/// Largest sizes of one message, in bytes.
+struct message_limits
+{
+    /// Target, names and values of the fields together.
+    std::size_t header = max_header_bytes;
+    std::size_t body = max_body_bytes;
+};
+
 /// A whole HTTP request. `target` is the part of the request line between method and
 /// version, undecoded.
 struct http_request
--- a/src/include/fescueridge/transport/http_server.hpp
+++ b/src/include/fescueridge/transport/http_server.hpp
@@ -70,11 +70,12 @@
 /// Limits and callbacks of an http_server.
 struct http_server_options
 {
-    std::size_t max_body = max_body_bytes;
+    /// Larger requests are refused with 431 or 413.
+    message_limits limits;
 
     /// Longest time from the first byte of a request to its last one, and for sending an
     /// answer. Without it a peer that stops in the middle holds its connection and up to
-    /// max_body bytes for ever.
+    /// limits.body bytes for ever.
     milliseconds transfer_timeout{30'000};
 
     /// Time after which a connection without a request is closed; 0 for none.
@@ -111,6 +112,9 @@
     /// Returns the address listened on, with the real port.
     endpoint bound() const;
 
+    /// Changes the size limits, for requests that begin from now on.
+    void set_limits(message_limits limits);
+
     /// Changes the time limits, for requests and idle times that start from now on.
     void set_timeouts(milliseconds transfer, milliseconds idle);
 
--- a/src/transport/client_connection.cpp
+++ b/src/transport/client_connection.cpp
@@ -64,7 +64,7 @@
     : owner_(std::move(owner)), socket_(asio::make_strand(io)), options_(options),
       idle_timeout_(options.idle_timeout), open_timer_(socket_.get_executor()),
       idle_timer_(socket_.get_executor()),
-      parser_(HTTP_RESPONSE, max_body_bytes,
+      parser_(HTTP_RESPONSE, message_limits{},
               options.answers_until_end ? answer_length::stated_or_until_end
                                         : answer_length::stated)
 {
--- a/src/transport/http_message.cpp
+++ b/src/transport/http_message.cpp
@@ -11,6 +11,9 @@
 namespace
 {
 
+/// Makes http-parser stop at the current byte.
+constexpr int refuse = -1;
+
 constexpr std::uint64_t no_content_length = ~std::uint64_t{0};
 
 bool has_control_character(std::string_view text)
@@ -61,9 +64,9 @@
 
 } // namespace
 
-message_parser::message_parser(http_parser_type type, std::size_t max_body,
+message_parser::message_parser(http_parser_type type, message_limits limits,
                                answer_length length)
-    : type_(type), max_body_(max_body), length_(length)
+    : type_(type), limits_(limits), length_(length)
 {
     static std::once_flag limit_set;
     std::call_once(limit_set, [] { http_parser_set_max_header_size(max_header_bytes); });
@@ -80,6 +83,7 @@
     keep_alive_ = false;
     in_value_ = false;
     expects_continue_ = false;
+    header_bytes_ = 0;
     problem_.clear();
     target_.clear();
     headers_.clear();
@@ -138,9 +142,22 @@
     return *static_cast<message_parser*>(parser->data);
 }
 
+/// Counts bytes of the header block; false when they exceed its limit.
+bool message_parser::take_header_bytes(std::size_t size)
+{
+    header_bytes_ += size;
+    if (header_bytes_ <= limits_.header)
+        return true;
+    fail(parse_status::header_too_large, "header block over the limit");
+    return false;
+}
+
 int message_parser::on_url(http_parser* parser, const char* data, std::size_t size)
 {
-    self(parser).target_.append(data, size);
+    auto& me = self(parser);
+    if (!me.take_header_bytes(size))
+        return refuse;
+    me.target_.append(data, size);
     return 0;
 }
 
@@ -148,6 +165,8 @@
                                     std::size_t size)
 {
     auto& me = self(parser);
+    if (!me.take_header_bytes(size))
+        return refuse;
     if (me.headers_.empty() || me.in_value_)
         me.headers_.emplace_back();
     me.in_value_ = false;
@@ -159,6 +178,8 @@
                                     std::size_t size)
 {
     auto& me = self(parser);
+    if (!me.take_header_bytes(size))
+        return refuse;
     me.in_value_ = true;
     me.headers_.back().value.append(data, size);
     return 0;
@@ -172,7 +193,6 @@
 int message_parser::headers_complete()
 {
     constexpr int skip_body = 1;
-    constexpr int refuse = -1;
     parser_.upgrade = 0;
     if (lacks_length())
     {
@@ -181,7 +201,8 @@
     }
     if (head_answer_)
         return skip_body;
-    if (parser_.content_length != no_content_length && parser_.content_length > max_body_)
+    if (parser_.content_length != no_content_length &&
+        parser_.content_length > limits_.body)
     {
         fail(parse_status::body_too_large, "body over the limit");
         return refuse;
@@ -206,10 +227,10 @@
 int message_parser::on_body(http_parser* parser, const char* data, std::size_t size)
 {
     auto& me = self(parser);
-    if (me.body_.size() + size > me.max_body_)
+    if (me.body_.size() + size > me.limits_.body)
     {
         me.fail(parse_status::body_too_large, "body over the limit");
-        return -1;
+        return refuse;
     }
     me.body_.append(data, size);
     return 0;
--- a/src/transport/http_message.hpp
+++ b/src/transport/http_message.hpp
@@ -32,7 +32,7 @@
 class message_parser
 {
 public:
-    message_parser(http_parser_type type, std::size_t max_body,
+    message_parser(http_parser_type type, message_limits limits,
                    answer_length length = answer_length::stated);
     message_parser(const message_parser&) = delete;
     message_parser& operator=(const message_parser&) = delete;
@@ -41,6 +41,9 @@
     /// states a length.
     void reset(bool head_answer = false);
 
+    /// Changes the limits, for the bytes that are read from now on.
+    void set_limits(message_limits limits) noexcept { limits_ = limits; }
+
     /// Reads bytes up to the end of the message; `used` is the number of bytes read.
     parse_status feed(const char* data, std::size_t size, std::size_t& used);
 
@@ -78,12 +81,14 @@
     static const http_parser_settings& settings();
 
     int headers_complete();
+    bool take_header_bytes(std::size_t size);
     bool lacks_length() const;
     parse_status fail(parse_status status, std::string problem);
 
     http_parser parser_{};
     http_parser_type type_;
-    std::size_t max_body_;
+    message_limits limits_;
+    std::size_t header_bytes_ = 0;
     answer_length length_;
     parse_status status_ = parse_status::need_more;
     bool head_answer_ = false;
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -132,6 +132,11 @@
     impl_->stop_accepting();
 }
 
+void http_server::set_limits(message_limits limits)
+{
+    impl_->set_limits(limits);
+}
+
 void http_server::set_timeouts(milliseconds transfer, milliseconds idle)
 {
     impl_->set_timeouts(transfer, idle);
--- a/src/transport/http_server_test.cpp
+++ b/src/transport/http_server_test.cpp
@@ -30,7 +30,7 @@
     http_server_options options(std::size_t max_body = max_body_bytes)
     {
         http_server_options result;
-        result.max_body = max_body;
+        result.limits.body = max_body;
         result.on_fault = [this](const http_fault& fault)
         {
             last = fault.kind;
@@ -93,6 +93,38 @@
                    http_fault_kind::header_too_large);
 }
 
+// Guards against limits that are read from a configuration and never applied, and against
+// limits that count the requests of a connection together.
+Test(http_server, applies_limits_to_requests_that_begin_later)
+{
+    constexpr std::size_t header = 200;
+    constexpr std::size_t body = 50;
+    io_threads threads;
+    http_server server(threads.io, any_port, echo);
+    const auto answer_to = [&](const std::string& input)
+    {
+        raw_peer peer(server.bound());
+        peer.try_send(input);
+        return peer.read_all();
+    };
+    const auto post = [](std::size_t field, std::size_t size)
+    {
+        return "POST /x HTTP/1.1\r\nA: " + std::string(field, 'a') +
+               "\r\nContent-Length: " + std::to_string(size) + "\r\n";
+    };
+    const std::string last = "Connection: close\r\n\r\n";
+    const auto large = post(2 * header, 2 * body) + last + std::string(2 * body, 'x');
+    cr_expect_neq(answer_to(large).find("200 OK"), std::string::npos);
+    server.set_limits({header, body});
+    cr_expect_neq(answer_to(post(2 * header, 0) + last).find(" 431 "), std::string::npos);
+    cr_expect_neq(answer_to(post(1, 2 * body) + last).find(" 413 "), std::string::npos);
+    const std::string whole(body, 'x');
+    const auto twice = post(header / 2, body) + "\r\n" + whole;
+    const auto answers = answer_to(twice + post(header / 2, body) + last + whole);
+    cr_expect_eq(answers.find(" 431 "), std::string::npos, "got: %s", answers.c_str());
+    cr_expect_neq(answers.find("200 OK", answers.find("200 OK") + 1), std::string::npos);
+}
+
 // Guards against requests of one connection being mixed or answered out of order.
 Test(http_server, answers_requests_of_a_connection_in_order)
 {
--- a/src/transport/server_connection.cpp
+++ b/src/transport/server_connection.cpp
@@ -98,6 +98,8 @@
 
 void server_connection::process(const char* data, std::size_t size)
 {
+    if (!parser_.started())
+        parser_.set_limits(server_->limits());
     while (size > 0 && !closed_)
     {
         if (!may_hand_over())
--- a/src/transport/server_connection.hpp
+++ b/src/transport/server_connection.hpp
@@ -42,6 +42,18 @@
         on_request_(std::move(request), std::move(exchange));
     }
 
+    void set_limits(message_limits limits)
+    {
+        const std::lock_guard lock(mutex_);
+        options_.limits = limits;
+    }
+
+    message_limits limits() const
+    {
+        const std::lock_guard lock(mutex_);
+        return options_.limits;
+    }
+
     void set_timeouts(milliseconds transfer, milliseconds idle)
     {
         transfer_timeout_ = transfer;
@@ -56,7 +68,6 @@
     std::atomic<bool> keep_alive_{true};
     std::atomic<bool> closed_{false};
 
-    std::size_t max_body() const { return options_.max_body; }
     std::size_t max_pipelined() const { return options_.max_pipelined; }
     milliseconds transfer_timeout() const { return transfer_timeout_; }
     milliseconds idle_timeout() const { return idle_timeout_; }
@@ -66,7 +77,7 @@
     void accept_later();
 
     asio::io_context& io_;
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
     asio::ip::tcp::acceptor acceptor_;
     asio::steady_timer retry_;
     std::set<std::shared_ptr<server_connection>> open_;
@@ -97,7 +108,7 @@
     server_connection(std::shared_ptr<http_server_impl> server, strand_socket socket)
         : server_(std::move(server)), socket_(std::move(socket)),
           read_timer_(socket_.get_executor()), write_timer_(socket_.get_executor()),
-          parser_(HTTP_REQUEST, server_->max_body())
+          parser_(HTTP_REQUEST, server_->limits())
     {
     }
 
--- a/testsuite/malformed_input/targets.cpp
+++ b/testsuite/malformed_input/targets.cpp
@@ -224,8 +224,9 @@
 std::string parse_message(http_parser_type type, const std::string& input,
                           NextSize next_size)
 {
-    constexpr std::size_t max_body = 1000;
-    detail::message_parser parser(type, max_body);
+    message_limits limits;
+    limits.body = 1000;
+    detail::message_parser parser(type, limits);
     parser.reset();
     auto status = detail::parse_status::need_more;
     std::size_t at = 0;
