Leave the own failure domain only when it makes an answer timely

Speeds of servers differ threefold, so a slow server nearby lost requests to a fast one elsewhere at 0.7 of its cost, although both answer in a tenth of the target latency. A cut between the domains loses such a request. Ruled out: a larger premium for leaving, which also keeps requests with short targets beside slow servers, where they are late. Change: while the server nearby has slots to spare and its cost is at most a quarter of the target latency, one elsewhere must cost under a quarter of it: more than speeds differ, so only faults do that. Measured: the new test of the choice fails with the old bound.

--- a/src/gateway/entry_port.cpp
+++ b/src/gateway/entry_port.cpp
@@ -179,7 +179,8 @@
     if (request->answer_by <= clock::now())
         return reject(request,
                       request->sends > 0 ? rejection::timeout : rejection::overload);
-    const auto found = choose_server(candidates(*request), random_);
+    const auto found =
+        choose_server(candidates(*request), request->message.target_latency, random_);
     if (!found || request->placements >= max_placements)
     {
         if (request->sends > 0)
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -28,6 +28,12 @@
 /// How much cheaper a server elsewhere must be then.
 constexpr double much_cheaper = 0.7;
 
+/// Part of the target latency up to which the cost of a server nearby is ample, and how
+/// much cheaper a server elsewhere must be then. Slow servers need three times as long as
+/// fast ones; one that is cheaper by more shows a fault of the one nearby.
+constexpr double ample_part = 0.25;
+constexpr double very_much_cheaper = 0.25;
+
 double use_of(const placement_candidate& candidate)
 {
     const double in_system = candidate.load.running + candidate.load.waiting + 1.0;
@@ -48,6 +54,16 @@
     return known == 0 ? 1 : sum / known;
 }
 
+/// Returns the part of the cost nearby under which a server elsewhere is chosen.
+double leaving_bound(const placement_candidate& near, double near_cost,
+                     milliseconds target_latency)
+{
+    if (use_of(near) > spare_use)
+        return 1;
+    const auto ample = ample_part * static_cast<double>(target_latency.count());
+    return near_cost <= ample ? very_much_cheaper : much_cheaper;
+}
+
 using choices = std::vector<const placement_candidate*>;
 
 const placement_candidate* draw(const choices& from, const placement_candidate* except,
@@ -97,7 +113,7 @@
 }
 
 std::optional<node_id> choose_server(const std::vector<placement_candidate>& candidates,
-                                     random_engine& random)
+                                     milliseconds target_latency, random_engine& random)
 {
     choices near;
     choices far;
@@ -111,9 +127,9 @@
         const auto* only = near_choice ? near_choice : far_choice;
         return only ? std::optional<node_id>(only->node) : std::nullopt;
     }
-    const double bound = use_of(*near_choice) <= spare_use ? much_cheaper : 1;
+    const double near_cost = placement_cost(*near_choice, typical);
     const bool leave = placement_cost(*far_choice, typical) <
-                       bound * placement_cost(*near_choice, typical);
+                       leaving_bound(*near_choice, near_cost, target_latency) * near_cost;
     return leave ? far_choice->node : near_choice->node;
 }
 
--- a/src/gateway/placement_test.cpp
+++ b/src/gateway/placement_test.cpp
@@ -21,12 +21,16 @@
     return made;
 }
 
-std::map<std::string, int> choose_often(const std::vector<placement_candidate>& from)
+constexpr milliseconds short_target{60};
+constexpr milliseconds long_target{1'500};
+
+std::map<std::string, int> choose_often(const std::vector<placement_candidate>& from,
+                                        milliseconds target_latency = short_target)
 {
     random_engine random(3);
     std::map<std::string, int> chosen;
     for (int i = 0; i < 1'000; ++i)
-        ++chosen[choose_server(from, random)->get()];
+        ++chosen[choose_server(from, target_latency, random)->get()];
     return chosen;
 }
 
@@ -35,7 +39,7 @@
 Test(placement, finds_nothing_without_candidates)
 {
     random_engine random(1);
-    cr_expect(!choose_server({}, random));
+    cr_expect(!choose_server({}, short_target, random));
 }
 
 // Guards against traffic between failure domains that a free server nearby makes
@@ -47,6 +51,31 @@
     cr_expect_eq(chosen.count("far"), 0U);
 }
 
+// Guards against traffic between failure domains that makes no answer timely: servers of
+// one service differ threefold in speed, and requests have targets far above either time.
+Test(placement, leaves_a_slow_server_nearby_only_when_its_time_matters)
+{
+    const std::vector<placement_candidate> from{
+        candidate("near", distance::same_domain, 10, 150),
+        candidate("far", distance::other_domain, 0, 50)};
+    cr_expect_eq(choose_often(from, long_target).count("far"), 0U);
+    cr_expect_eq(choose_often(from, milliseconds{300}).count("near"), 0U);
+}
+
+// Guards against requests that stay beside a server which a fault has slowed down, or
+// which fails them, because their targets are long.
+Test(placement, leaves_a_faulty_server_nearby_whatever_the_target)
+{
+    const auto far = candidate("far", distance::other_domain, 0, 50);
+    const auto slowed = candidate("near", distance::same_domain, 10, 400);
+    cr_expect_eq(choose_often({slowed, far}, long_target).count("near"), 0U);
+    auto failing = candidate("near", distance::same_domain, 10, 50);
+    failing.failure_share = 0.3;
+    cr_expect_eq(choose_often({failing, far}, long_target).count("near"), 0U);
+    auto crowded = candidate("near", distance::same_domain, 26, 150);
+    cr_expect_eq(choose_often({crowded, far}, long_target).count("near"), 0U);
+}
+
 // Guards against callers queueing in their own domain beside free servers.
 Test(placement, leaves_the_own_domain_when_it_is_full)
 {
--- a/src/include/fescueridge/gateway/placement.hpp
+++ b/src/include/fescueridge/gateway/placement.hpp
@@ -3,6 +3,7 @@
 #include <optional>
 #include <vector>
 
+#include "fescueridge/base/clock.hpp"
 #include "fescueridge/base/random.hpp"
 #include "fescueridge/base/types.hpp"
 #include "fescueridge/codec/gateway_messages.hpp"
@@ -36,11 +37,13 @@
 
 /// Chooses a server: the cheaper one of two servers of the own failure domain and the
 /// cheaper one of two elsewhere, all drawn at random, weighted by free slots, are
-/// compared. While the one nearby has slots to spare, the other one must be much cheaper.
+/// compared. While the one nearby has slots to spare, the other one must be much cheaper,
+/// and cheaper still when the one nearby answers far within the target latency: an answer
+/// that is in time gains nothing from a faster server.
 ///
 /// Load that it answers: servers of one service whose speeds differ threefold, that slow
 /// down when nearly full, start cold or fail a part of their requests.
 std::optional<node_id> choose_server(const std::vector<placement_candidate>& candidates,
-                                     random_engine& random);
+                                     milliseconds target_latency, random_engine& random);
 
 } // namespace fescueridge::gateway
