Record stolen processor time and latencies with the measured cases

Change: the measurement returns lag and quantiles of each phase; the test script prints the ticks that the host withheld during each case. Measured: a run prints them. Conclusion: the next failure can be traced; the bound stays.

--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -45,16 +45,20 @@
     fi
 }
 
+# Processor time, in ticks, that the host gave to others while this machine wanted it.
+stolen_ticks() { awk '/^cpu / { print $9 }' /proc/stat; }
+
 run_script() {
-    local script=$1 name log start status
+    local script=$1 name log start status stolen
     name=${script%/run.sh}
     log=$build/$(tr '/' '_' <<<"$name").log
     start=$(date +%s)
+    stolen=$(stolen_ticks)
     timeout 180 "$script" "$build" >"$log" 2>&1
     status=$?
     [ "$status" -eq 0 ] || tail -n 40 "$log"
     count_case "$name" "$status"
-    echo "   $(($(date +%s) - start)) s"
+    echo "   $(($(date +%s) - start)) s, $(($(stolen_ticks) - stolen)) ticks stolen"
 }
 
 for program in "$build"/bin/*_test; do
--- a/testsuite/measures.py
+++ b/testsuite/measures.py
@@ -117,12 +117,17 @@
         def percentile(report, index):
             return report["classes"][0]["phases"][index]["latency_ms"]["p99"]
 
+        def latencies(report):
+            """Quantiles of both phases, to tell a stall of the machine from slow calls."""
+            return [part["latency_ms"] for part in report["classes"][0]["phases"]]
+
         even, slow = percentile(first, 1), percentile(second, 1)
         return {"even_p99": even, "slow_p99": slow, "ratio": slow / even,
                 "settle_p99": percentile(second, 0), "busy": cpu_busy(),
                 "ok_share": counts(second, "slow")["ok"] / counts(second, "slow")["sent"],
                 "slow_executions": chain.deepest[0].server_stats()["executions"],
-                "seed": seed}
+                "lag_ms": [first["max_send_lag_ms"], second["max_send_lag_ms"]],
+                "latencies": latencies(first) + latencies(second), "seed": seed}
 
 
 class Supervisor:
