Bound the body limit of a configuration by the frames of the links

Cause: the wire examples show a body limit of 64 MiB; a link carries bodies of 16 MiB, so a larger one was taken from its client and then could not be sent to the node beside the server. Ruled out: larger frames, which a VM of 160 MB does not hold. Change: the entry applies the smaller of both limits; larger bodies are refused with 413 before they are read. Measured: client_limits/bodies_fit_into_the_frames_of_links.

--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -281,7 +281,7 @@
                        {"source", std::string(source)},
                        {"routes", static_cast<std::int64_t>(config.routes.size())}});
     entry_.use(table_);
-    entry_server_->set_limits(config.limits.sizes);
+    entry_server_->set_limits(config.limits.sizes_on_links());
     if (config.limits.idle_timeout > milliseconds{0})
         entry_server_->set_timeouts(config.limits.header_timeout,
                                     config.limits.idle_timeout);
--- a/src/gateway/routing_config.cpp
+++ b/src/gateway/routing_config.cpp
@@ -29,6 +29,11 @@
 
 } // namespace
 
+message_limits client_limits::sizes_on_links() const
+{
+    return {sizes.header, std::min(sizes.body, max_body_bytes)};
+}
+
 route_table::route_table(routing_config config) : config_(std::move(config))
 {
     for (std::size_t i = 0; i < config_.routes.size(); ++i)
--- a/src/gateway/routing_config_test.cpp
+++ b/src/gateway/routing_config_test.cpp
@@ -21,6 +21,17 @@
 
 } // namespace
 
+// Guards against a body that is taken from a client and that no link carries.
+Test(client_limits, bodies_fit_into_the_frames_of_links)
+{
+    client_limits limits;
+    limits.sizes = {1'000, 4 * max_body_bytes};
+    cr_expect_eq(limits.sizes_on_links().body, max_body_bytes);
+    cr_expect_eq(limits.sizes_on_links().header, 1'000U);
+    limits.sizes.body = 50;
+    cr_expect_eq(limits.sizes_on_links().body, 50U);
+}
+
 Test(route_table, finds_the_longest_prefix_of_the_host)
 {
     routing_config config;
--- a/src/include/fescueridge/gateway/routing_config.hpp
+++ b/src/include/fescueridge/gateway/routing_config.hpp
@@ -48,6 +48,9 @@
     message_limits sizes;
     milliseconds header_timeout{0};
     milliseconds idle_timeout{0};
+
+    /// Returns the sizes, with bodies no larger than the links between nodes carry.
+    message_limits sizes_on_links() const;
 };
 
 /// The routing configuration of operators.
