Let a departure without a start end every start born before it

The departure was the first that it heard of the server and named no start; a late heartbeat of that start (sequence 11, 2.6 s later) then counted as a new start, and requests went to the server again. Ruled out: reports of others, which placed by this node's own report; a health check, which does not bring back a server that has left. Change: the tracker keeps the wall clock of such a departure and takes a heartbeat of a start that was born earlier as the one that ended; what a peer remembers of the server tells the start exactly. Measured: ends_the_start_of_a_departure_that_names_none fails without the check.

--- a/src/gateway/run_executor.cpp
+++ b/src/gateway/run_executor.cpp
@@ -141,7 +141,8 @@
     if (const auto* heartbeat = std::get_if<server_heartbeat>(&announcement))
         change = tracker_.on_heartbeat(*heartbeat, now);
     else
-        change = tracker_.on_departure(std::get<server_departure>(announcement), now);
+        change = tracker_.on_departure(std::get<server_departure>(announcement), now,
+                                       wall_clock_ms());
     const auto& after = tracker_.server();
     const bool restarted = change == server_change::started && before &&
                            (before->id != after->id || before->born_ms != 0);
@@ -166,7 +167,7 @@
 
 void run_executor::on_memory_of_peer(const server_record& server)
 {
-    note_change(tracker_.on_memory_of_peer(server), "memory_of_peer");
+    note_change(tracker_.on_memory_of_peer(server, wall_clock_ms()), "memory_of_peer");
 }
 
 void run_executor::note_change(server_change change, const std::string& cause)
--- a/src/gateway/server_tracker.cpp
+++ b/src/gateway/server_tracker.cpp
@@ -55,12 +55,28 @@
     return another ? server_change::started : server_change::ready;
 }
 
+/// Tells whether the server with this id has left and its start is not known: a restarted
+/// process may hear of a departure first, and departures need not name the start.
+bool server_tracker::left_without_a_start(const instance_id& id) const
+{
+    return server_ && server_->id == id && server_->born_ms == 0 &&
+           is_leaving(server_->state);
+}
+
+void server_tracker::name_start_that_left(std::int64_t born_ms)
+{
+    server_->born_ms = born_ms;
+    latest_born_ms_ = std::max(latest_born_ms_, born_ms);
+}
+
 server_change server_tracker::on_heartbeat(const server_heartbeat& heartbeat,
                                            time_point now)
 {
     const server_record& said = heartbeat.server;
     if (said.born_ms < latest_born_ms_)
         return server_change::stale;
+    if (left_without_a_start(said.id) && said.born_ms <= left_at_ms_)
+        name_start_that_left(said.born_ms);
     const bool same_start =
         server_ && server_->id == said.id && server_->born_ms == said.born_ms;
     if (!same_start)
@@ -83,7 +99,7 @@
 }
 
 server_change server_tracker::on_departure(const server_departure& departure,
-                                           time_point now)
+                                           time_point now, std::int64_t wall_ms)
 {
     if (!server_)
     {
@@ -91,7 +107,8 @@
         left.id = departure.id;
         left.service = service_;
         left.born_ms = departure.born_ms.value_or(0);
-        return on_memory_of_peer(left);
+        left.state = server_state::gone;
+        return on_memory_of_peer(left, wall_ms);
     }
     const bool other_start = departure.born_ms && *departure.born_ms != server_->born_ms;
     if (server_->id != departure.id || other_start)
@@ -103,8 +120,14 @@
     return server_change::leaving;
 }
 
-server_change server_tracker::on_memory_of_peer(const server_record& server)
+server_change server_tracker::on_memory_of_peer(const server_record& server,
+                                                std::int64_t wall_ms)
 {
+    if (left_without_a_start(server.id))
+    {
+        name_start_that_left(server.born_ms);
+        return server_change::none;
+    }
     if (!is_leaving(server.state) || server.born_ms < latest_born_ms_)
         return server_change::none;
     const bool same_start =
@@ -112,6 +135,7 @@
     if (server_ && (!same_start || is_leaving(server_->state)))
         return server_change::none;
     latest_born_ms_ = std::max(latest_born_ms_, server.born_ms);
+    left_at_ms_ = wall_ms;
     server_ = server;
     return server_change::leaving;
 }
--- a/src/gateway/server_tracker_test.cpp
+++ b/src/gateway/server_tracker_test.cpp
@@ -12,6 +12,7 @@
 const time_point start{milliseconds{1'000'000}};
 constexpr milliseconds interval{1'500};
 const service_name tills("tills");
+constexpr std::int64_t wall_ms = 1'000;
 
 server_heartbeat beat(const std::string& id, std::int64_t born, std::uint64_t sequence,
                       server_state state = server_state::ready)
@@ -48,7 +49,7 @@
     cr_expect(tracker.on_heartbeat(beat("a", 10, 4), start) == server_change::stale);
     tracker.on_heartbeat(beat("a", 10, 6), start);
     cr_expect(!tracker.accepts());
-    cr_expect(tracker.on_departure({instance_id("a"), 10}, start) ==
+    cr_expect(tracker.on_departure({instance_id("a"), 10}, start, wall_ms) ==
               server_change::leaving);
     cr_expect(tracker.on_heartbeat(beat("a", 10, 7), start) == server_change::stale);
     cr_expect(!tracker.accepts());
@@ -61,7 +62,7 @@
     tracker.on_heartbeat(beat("b", 20, 1), start);
     cr_expect(tracker.on_heartbeat(beat("a", 10, 9), start) == server_change::stale);
     cr_expect_str_eq(tracker.server()->id.get().c_str(), "b");
-    cr_expect(tracker.on_departure({instance_id("a"), 10}, start) ==
+    cr_expect(tracker.on_departure({instance_id("a"), 10}, start, wall_ms) ==
               server_change::stale);
     cr_expect(tracker.accepts());
 }
@@ -71,7 +72,7 @@
 {
     server_tracker tracker(tills, interval);
     tracker.on_heartbeat(beat("a", 10, 7), start);
-    tracker.on_departure({instance_id("a"), 10}, start);
+    tracker.on_departure({instance_id("a"), 10}, start, wall_ms);
     cr_expect(tracker.on_heartbeat(beat("a", 30, 1), start) == server_change::started);
     cr_expect(tracker.accepts());
 }
@@ -81,14 +82,40 @@
 Test(server_tracker, takes_the_memory_of_a_peer_after_a_restart)
 {
     server_tracker tracker(tills, interval);
-    tracker.on_memory_of_peer(beat("a", 10, 5, server_state::gone).server);
+    tracker.on_memory_of_peer(beat("a", 10, 5, server_state::gone).server, wall_ms);
     cr_expect(tracker.on_heartbeat(beat("a", 10, 4), start) == server_change::stale);
     cr_expect(!tracker.accepts());
     cr_expect(tracker.on_heartbeat(beat("c", 40, 1), start) == server_change::started);
-    tracker.on_memory_of_peer(beat("a", 10, 5, server_state::gone).server);
+    tracker.on_memory_of_peer(beat("a", 10, 5, server_state::gone).server, wall_ms);
     cr_expect(tracker.accepts());
 }
 
+// Guards against a restarted node that hears of a departure first, which names no start,
+// and then takes a late heartbeat of that start for a new one.
+Test(server_tracker, ends_the_start_of_a_departure_that_names_none)
+{
+    server_tracker tracker(tills, interval);
+    cr_expect(tracker.on_departure({instance_id("a"), std::nullopt}, start, wall_ms) ==
+              server_change::leaving);
+    cr_expect(tracker.on_heartbeat(beat("a", 900, 11), start) == server_change::stale);
+    cr_expect(tracker.on_heartbeat(beat("a", 900, 12), start) == server_change::stale);
+    cr_expect(!tracker.accepts());
+    cr_expect(tracker.on_heartbeat(beat("a", 1'001, 1), start) == server_change::started);
+    cr_expect(tracker.accepts());
+}
+
+// Guards against a clock that was set back making a new start look like the one that
+// left.
+Test(server_tracker, learns_from_a_peer_which_start_has_left)
+{
+    server_tracker tracker(tills, interval);
+    tracker.on_departure({instance_id("a"), std::nullopt}, start, wall_ms);
+    tracker.on_memory_of_peer(beat("a", 500, 5).server, wall_ms);
+    cr_expect(tracker.on_heartbeat(beat("a", 500, 6), start) == server_change::stale);
+    cr_expect(!tracker.accepts());
+    cr_expect(tracker.on_heartbeat(beat("a", 600, 1), start) == server_change::started);
+}
+
 // Guards against a silent server keeping its requests until their deadlines.
 Test(server_tracker, suspects_a_server_without_heartbeats_and_recovers)
 {
@@ -107,7 +134,7 @@
 Test(server_tracker, names_the_service_of_a_server_that_it_knows_by_its_departure_only)
 {
     server_tracker tracker(tills, interval);
-    cr_expect(tracker.on_departure({instance_id("a"), 10}, start) ==
+    cr_expect(tracker.on_departure({instance_id("a"), 10}, start, wall_ms) ==
               server_change::leaving);
     cr_assert(tracker.server().has_value());
     cr_expect_str_eq(tracker.server()->service.get().c_str(), "tills");
--- a/src/include/fescueridge/gateway/server_tracker.hpp
+++ b/src/include/fescueridge/gateway/server_tracker.hpp
@@ -36,11 +36,15 @@
     }
 
     server_change on_heartbeat(const server_heartbeat& heartbeat, time_point now);
-    server_change on_departure(const server_departure& departure, time_point now);
+
+    /// Takes the end of a server. `wall_ms` is the wall clock of this VM: a departure may
+    /// not name the start that ends, and a start that was born later is another one.
+    server_change on_departure(const server_departure& departure, time_point now,
+                               std::int64_t wall_ms);
 
     /// Takes what a peer remembers of this node's server from before a restart of this
-    /// process. Only an end that it knows of counts.
-    server_change on_memory_of_peer(const server_record& server);
+    /// process: an end that it knows of, or which start a departure has ended.
+    server_change on_memory_of_peer(const server_record& server, std::int64_t wall_ms);
 
     /// Records that the server does not answer or does not accept connections.
     server_change on_no_answer();
@@ -64,11 +68,14 @@
 
 private:
     server_change begin(const server_record& server, time_point now);
+    bool left_without_a_start(const instance_id& id) const;
+    void name_start_that_left(std::int64_t born_ms);
 
     service_name service_;
     milliseconds heartbeat_interval_;
     std::optional<server_record> server_;
     std::int64_t latest_born_ms_ = 0;
+    std::int64_t left_at_ms_ = 0; ///< Wall clock when it was heard that the server left.
     time_point last_sign_{};
     bool suspected_ = false;
 };
