Read records of nodes more rarely while they keep coming

Nodes that start, stop and are replaced write a record each, and every node read them every 2 s. Change: the rest between reads doubles from 2 to 6 s while each read brings records; links tell of new nodes meanwhile, as a node that starts dials all that it finds. A read without news or a failure sets it back.

--- a/src/gateway/cluster_records.cpp
+++ b/src/gateway/cluster_records.cpp
@@ -12,7 +12,7 @@
 constexpr milliseconds publish_pause{500};
 /// Records of nodes are read in batches. A node that starts dials all nodes that it
 /// finds, and links tell of it meanwhile.
-constexpr milliseconds nodes_rest{2'000};
+constexpr read_rest nodes_rest{milliseconds{2'000}, milliseconds{6'000}};
 
 constexpr const char* calls_key = "calls";
 
--- a/src/gateway/topic_follower.cpp
+++ b/src/gateway/topic_follower.cpp
@@ -22,9 +22,9 @@
 
 topic_follower::topic_follower(asio::io_context& io, keyed_log& log,
                                decision_log& decisions, topic_name topic,
-                               topic_callbacks callbacks, milliseconds rest)
+                               topic_callbacks callbacks, read_rest rest)
     : log_(log), decisions_(decisions), topic_(std::move(topic)),
-      callbacks_(std::move(callbacks)), rest_(rest), timer_(io)
+      callbacks_(std::move(callbacks)), rest_(rest), next_rest_(rest.first), timer_(io)
 {
 }
 
@@ -94,9 +94,12 @@
         callbacks_.on_record(record);
     if (stopped_)
         return;
-    if (rest_ == milliseconds{0} || batch.records.empty())
+    if (batch.records.empty())
+        next_rest_ = rest_.first;
+    if (next_rest_ == milliseconds{0} || batch.records.empty())
         return read();
-    after(rest_, [this] { read(); });
+    after(next_rest_, [this] { read(); });
+    next_rest_ = std::min(2 * next_rest_, rest_.longest);
 }
 
 void topic_follower::contact()
@@ -114,6 +117,7 @@
                            {"cause", std::string(to_string(failure.kind))},
                            {"detail", failure.detail},
                            {"next_offset", static_cast<std::int64_t>(next_.get())}});
+    next_rest_ = rest_.first;
     const bool list_anew = listing || failure.kind == log_failure_kind::truncated ||
                            failure.kind == log_failure_kind::malformed;
     if (failure.kind == log_failure_kind::truncated)
--- a/src/include/fescueridge/gateway/topic_follower.hpp
+++ b/src/include/fescueridge/gateway/topic_follower.hpp
@@ -17,16 +17,23 @@
     std::function<void(const keyed_record&)> on_record;
 };
 
+/// Least time from an answer with records to the next read. It begins with `first` and
+/// doubles with each such answer up to `longest`; a read that finds nothing new, or a
+/// failure, sets it back.
+struct read_rest
+{
+    milliseconds first{0};
+    milliseconds longest{0};
+};
+
 /// Follows a topic: lists the newest record of each key, then waits for new records.
 /// Failures are retried with growing pauses; when records were dropped meanwhile, the
 /// keys are listed anew.
 class topic_follower : public std::enable_shared_from_this<topic_follower>
 {
 public:
-    /// `rest` is the least time from an answer with records to the next read.
     topic_follower(asio::io_context& io, keyed_log& log, decision_log& decisions,
-                   topic_name topic, topic_callbacks callbacks,
-                   milliseconds rest = milliseconds{0});
+                   topic_name topic, topic_callbacks callbacks, read_rest rest = {});
 
     void start();
     void stop();
@@ -45,7 +52,8 @@
     decision_log& decisions_;
     topic_name topic_;
     topic_callbacks callbacks_;
-    milliseconds rest_;
+    read_rest rest_;
+    milliseconds next_rest_;
     asio::steady_timer timer_;
     log_offset next_;
     milliseconds pause_{0};
