Name the fixed-bucket histogram apart; read size limits without a lock

Ruled out: one histogram for both uses, as one keeps fixed buckets for good and the other the quantiles of the last seconds; calls below a route in entry_port and the costs along the call graph, which look alike but divide among targets differently, so joining them changes retries.

--- a/src/base/duration_histogram.cpp
+++ b/src/base/duration_histogram.cpp
@@ -1,4 +1,4 @@
-#include "fescueridge/base/latency_histogram.hpp"
+#include "fescueridge/base/duration_histogram.hpp"
 
 #include <array>
 #include <boost/histogram.hpp>
@@ -28,26 +28,27 @@
 
 } // namespace
 
-struct latency_histogram::impl
+struct duration_histogram::impl
 {
     counts bins = hist::make_histogram(hist::axis::variable<>(bin_edges()));
     std::uint64_t samples = 0;
     milliseconds total{0};
 };
 
-latency_histogram::latency_histogram() : impl_(std::make_unique<impl>()) {}
-latency_histogram::~latency_histogram() = default;
-latency_histogram::latency_histogram(latency_histogram&&) noexcept = default;
-latency_histogram& latency_histogram::operator=(latency_histogram&&) noexcept = default;
+duration_histogram::duration_histogram() : impl_(std::make_unique<impl>()) {}
+duration_histogram::~duration_histogram() = default;
+duration_histogram::duration_histogram(duration_histogram&&) noexcept = default;
+duration_histogram&
+duration_histogram::operator=(duration_histogram&&) noexcept = default;
 
-void latency_histogram::add(milliseconds duration)
+void duration_histogram::add(milliseconds duration)
 {
     impl_->bins(static_cast<double>(duration.count()));
     ++impl_->samples;
     impl_->total += duration;
 }
 
-std::vector<histogram_bucket> latency_histogram::buckets() const
+std::vector<histogram_bucket> duration_histogram::buckets() const
 {
     std::vector<histogram_bucket> result;
     std::uint64_t below = 0;
@@ -59,12 +60,12 @@
     return result;
 }
 
-std::uint64_t latency_histogram::count() const
+std::uint64_t duration_histogram::count() const
 {
     return impl_->samples;
 }
 
-milliseconds latency_histogram::sum() const
+milliseconds duration_histogram::sum() const
 {
     return impl_->total;
 }
--- a/src/base/duration_histogram_test.cpp
+++ b/src/base/duration_histogram_test.cpp
@@ -1,14 +1,14 @@
 #include <criterion/criterion.h>
 
-#include "fescueridge/base/latency_histogram.hpp"
+#include "fescueridge/base/duration_histogram.hpp"
 
 using namespace fescueridge;
 
 // Guards against a sample at a bound that counts as over it, and against samples that no
 // bucket holds and that the count forgets.
-Test(latency_histogram, counts_samples_up_to_each_bound)
+Test(duration_histogram, counts_samples_up_to_each_bound)
 {
-    latency_histogram histogram;
+    duration_histogram histogram;
     for (const int ms : {0, 5, 6, 10'000, 10'001})
         histogram.add(milliseconds(ms));
     const auto buckets = histogram.buckets();
@@ -21,9 +21,9 @@
     cr_expect_eq(histogram.sum().count(), 20'012);
 }
 
-Test(latency_histogram, is_empty_at_first)
+Test(duration_histogram, is_empty_at_first)
 {
-    const latency_histogram histogram;
+    const duration_histogram histogram;
     cr_expect_eq(histogram.buckets().back().count, 0);
     cr_expect_eq(histogram.count(), 0);
 }
--- a/src/gateway/metrics_text.cpp
+++ b/src/gateway/metrics_text.cpp
@@ -26,7 +26,7 @@
     }
 
     void add_histogram(std::string_view name, const std::string& labels,
-                       const latency_histogram& values)
+                       const duration_histogram& values)
     {
         const auto bucket_name = fmt::format("{}_bucket", name);
         const std::string before = labels.empty() ? "" : labels + ",";
--- a/src/include/fescueridge/base/duration_histogram.hpp
+++ b/src/include/fescueridge/base/duration_histogram.hpp
@@ -18,13 +18,13 @@
 
 /// Counts durations in fixed buckets, from 5 ms to 10 s, for as long as the process runs.
 /// Its memory does not grow. Used from one thread.
-class latency_histogram
+class duration_histogram
 {
 public:
-    latency_histogram();
-    ~latency_histogram();
-    latency_histogram(latency_histogram&&) noexcept;
-    latency_histogram& operator=(latency_histogram&&) noexcept;
+    duration_histogram();
+    ~duration_histogram();
+    duration_histogram(duration_histogram&&) noexcept;
+    duration_histogram& operator=(duration_histogram&&) noexcept;
 
     /// Adds a sample.
     void add(milliseconds duration);
--- a/src/include/fescueridge/gateway/entry_port.hpp
+++ b/src/include/fescueridge/gateway/entry_port.hpp
@@ -6,7 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "fescueridge/base/latency_histogram.hpp"
+#include "fescueridge/base/duration_histogram.hpp"
 #include "fescueridge/base/random.hpp"
 #include "fescueridge/gateway/admission_plan.hpp"
 #include "fescueridge/gateway/origin_tracker.hpp"
@@ -44,7 +44,7 @@
 
 /// Times from the arrival of requests to their answers, by service and outcome.
 using request_latencies =
-    std::map<std::pair<service_name, request_outcome>, latency_histogram>;
+    std::map<std::pair<service_name, request_outcome>, duration_histogram>;
 
 /// Takes the requests of clients and of the backend server on this VM, decides whether
 /// they begin, chooses servers for them and answers them. Used from one io thread.
--- a/src/include/fescueridge/gateway/run_executor.hpp
+++ b/src/include/fescueridge/gateway/run_executor.hpp
@@ -5,7 +5,7 @@
 #include <memory>
 #include <unordered_map>
 
-#include "fescueridge/base/latency_histogram.hpp"
+#include "fescueridge/base/duration_histogram.hpp"
 #include "fescueridge/gateway/call_graph.hpp"
 #include "fescueridge/gateway/crash_suspects.hpp"
 #include "fescueridge/gateway/decision_log.hpp"
@@ -106,7 +106,7 @@
     std::uint64_t connections_opened() const;
 
     /// Times from sending a request to the server to its whole answer.
-    const latency_histogram& run_times() const noexcept { return run_times_; }
+    const duration_histogram& run_times() const noexcept { return run_times_; }
 
     void close();
 
@@ -161,7 +161,7 @@
     bool probing_ = false;
     bool stopping_ = false;
     executor_counters counters_;
-    latency_histogram run_times_;
+    duration_histogram run_times_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/transport/http_message.hpp
+++ b/src/transport/http_message.hpp
@@ -32,8 +32,8 @@
 class message_parser
 {
 public:
-    message_parser(http_parser_type type, message_limits limits,
-                   answer_length length = answer_length::stated);
+    explicit message_parser(http_parser_type type, message_limits limits = {},
+                            answer_length length = answer_length::stated);
     message_parser(const message_parser&) = delete;
     message_parser& operator=(const message_parser&) = delete;
 
--- a/src/transport/server_connection.hpp
+++ b/src/transport/server_connection.hpp
@@ -24,7 +24,8 @@
     http_server_impl(asio::io_context& io, const endpoint& listen,
                      http_server::handler on_request, http_server_options options)
         : io_(io), acceptor_(io), retry_(io), on_request_(std::move(on_request)),
-          options_(std::move(options)), transfer_timeout_(options_.transfer_timeout),
+          options_(std::move(options)), header_limit_(options_.limits.header),
+          body_limit_(options_.limits.body), transfer_timeout_(options_.transfer_timeout),
           idle_timeout_(options_.idle_timeout)
     {
         open(listen);
@@ -44,14 +45,8 @@
 
     void set_limits(message_limits limits)
     {
-        const std::lock_guard lock(mutex_);
-        options_.limits = limits;
-    }
-
-    message_limits limits() const
-    {
-        const std::lock_guard lock(mutex_);
-        return options_.limits;
+        header_limit_ = limits.header;
+        body_limit_ = limits.body;
     }
 
     void set_timeouts(milliseconds transfer, milliseconds idle)
@@ -68,6 +63,7 @@
     std::atomic<bool> keep_alive_{true};
     std::atomic<bool> closed_{false};
 
+    message_limits limits() const { return {header_limit_, body_limit_}; }
     std::size_t max_pipelined() const { return options_.max_pipelined; }
     milliseconds transfer_timeout() const { return transfer_timeout_; }
     milliseconds idle_timeout() const { return idle_timeout_; }
@@ -77,12 +73,14 @@
     void accept_later();
 
     asio::io_context& io_;
-    mutable std::mutex mutex_;
+    std::mutex mutex_;
     asio::ip::tcp::acceptor acceptor_;
     asio::steady_timer retry_;
     std::set<std::shared_ptr<server_connection>> open_;
     http_server::handler on_request_;
     http_server_options options_;
+    std::atomic<std::size_t> header_limit_;
+    std::atomic<std::size_t> body_limit_;
     std::atomic<milliseconds> transfer_timeout_;
     std::atomic<milliseconds> idle_timeout_;
 };
@@ -108,7 +106,7 @@
     server_connection(std::shared_ptr<http_server_impl> server, strand_socket socket)
         : server_(std::move(server)), socket_(std::move(socket)),
           read_timer_(socket_.get_executor()), write_timer_(socket_.get_executor()),
-          parser_(HTTP_REQUEST, server_->limits())
+          parser_(HTTP_REQUEST)
     {
     }
 
