Show that a silent connection to the log delays a configuration

Callers saw an older configuration for up to 21 s after a newer one was acknowledged, when all connections had fallen silent. No logic changed.

--- a/src/gateway/topic_follower_test.cpp
+++ b/src/gateway/topic_follower_test.cpp
@@ -63,8 +63,73 @@
     std::uint64_t pending_offset_ = 0;
 };
 
+/// Log whose first read falls silent: it ends only at its timeout, while a record is
+/// appended. Later reads return the record.
+class silent_log : public keyed_log
+{
+public:
+    explicit silent_log(asio::io_context& io) : io_(io), timer_(io) {}
+
+    void list_newest(const topic_name&, const std::string&, milliseconds,
+                     std::function<void(log_result<newest_page>)> done) override
+    {
+        asio::post(io_, [done] { done(newest_page{}); });
+    }
+
+    void read(const topic_name&, log_offset from, milliseconds, milliseconds timeout,
+              std::function<void(log_result<record_batch>)> done) override
+    {
+        if (std::exchange(silent_, false))
+        {
+            timer_.expires_after(timeout);
+            timer_.async_wait(
+                [done](asio::error_code) {
+                    done(log_failure{log_failure_kind::unknown, "timed_out"});
+                });
+            return;
+        }
+        if (from.get() > 0)
+            return;
+        record_batch batch;
+        batch.records.push_back({"config", "2"});
+        batch.next = log_offset(1);
+        asio::post(io_, [done, batch] { done(batch); });
+    }
+
+    void append(const topic_name&, const keyed_record&, milliseconds,
+                std::function<void(log_result<append_receipt>)>) override
+    {
+    }
+
+private:
+    asio::io_context& io_;
+    asio::steady_timer timer_;
+    bool silent_ = true;
+};
+
 } // namespace
 
+// Guards against a configuration that is not seen while the read waits on a silent
+// connection: reads were given up after 21 s only.
+Test(topic_follower, notices_a_silent_read_within_the_bound)
+{
+    asio::io_context io;
+    silent_log log(io);
+    decision_log decisions(io, node_id("vm-1"));
+    unsigned received = 0;
+    topic_callbacks callbacks;
+    callbacks.on_record = [&](const keyed_record&)
+    {
+        ++received;
+    };
+    const auto follower = std::make_shared<topic_follower>(
+        io, log, decisions, topic_name("op"), std::move(callbacks));
+    follower->start();
+    io.run_for(std::chrono::milliseconds(2'000));
+    follower->stop();
+    cr_expect_eq(received, 1U);
+}
+
 // Without a delay between reads, each of 73 starting or restarted nodes read the log 73
 // times, and these reads were the largest cost of such a restart. Records that arrive in
 // quick succession must be read in batches.
--- a/src/transport/http_client_pool_test.cpp
+++ b/src/transport/http_client_pool_test.cpp
@@ -230,6 +230,34 @@
     held.clear();
 }
 
+// Guards against a request that is sent on a connection that fell silent together with
+// the one that has just timed out.
+Test(http_client_pool, closes_idle_connections_after_a_timeout, .timeout = 5)
+{
+    io_threads threads;
+    raw_listener listener;
+    http_client_options options;
+    http_client_pool pool(threads.io, listener.bound(), connection_count(4), options);
+    auto first = send(pool);
+    auto second = send(pool);
+    raw_peer silent(listener.acceptor);
+    raw_peer also_silent(listener.acceptor);
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    for (raw_peer* peer : {&silent, &also_silent})
+    {
+        peer->read_until("\r\n\r\n");
+        peer->send(answer);
+    }
+    body(std::move(first));
+    body(std::move(second));
+    cr_expect(failure(send(pool, get, 50ms)).kind == http_failure_kind::timed_out);
+    auto retry = send(pool, get, 1000ms);
+    raw_peer fresh(listener.acceptor);
+    fresh.read_until("\r\n\r\n");
+    fresh.send(answer);
+    cr_expect_str_eq(body(std::move(retry)).c_str(), "ok");
+}
+
 // Guards against a lost or doubled callback when time-outs, cancels and answers meet.
 Test(http_client_pool, calls_back_exactly_once)
 {
