Show how long the log has not confirmed the configuration

While connections to the log were silent, logs and metrics did not say so: a read that waits on a silent connection looks like a quiet log, and log_lost came only at its timeout, without the time of the last answer. The gauge config_unconfirmed_seconds and the field confirmed_ms_ago of log_lost give that time. Built and unit tests run: only the known red ones fail. No decision changed.

--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -320,7 +320,8 @@
         return exchange.respond(
             {200,
              {{"Content-Type", "text/plain; version=0.0.4"}},
-             metrics_text(router_, executor_, peers_, decisions_, table_.get())});
+             metrics_text(router_, executor_, peers_, decisions_, table_.get(),
+                          config_follower_->unconfirmed_for())});
     const bool ready = table_ && !stopping_since_;
     exchange.respond({ready ? 200 : 503,
                       {{"Content-Type", "text/plain"}},
--- a/src/gateway/topic_follower.cpp
+++ b/src/gateway/topic_follower.cpp
@@ -32,6 +32,7 @@
 
 void topic_follower::start()
 {
+    confirmed_at_ = clock::now();
     list_keys({});
 }
 
@@ -107,6 +108,7 @@
 void topic_follower::on_success()
 {
     retry_pause_ = milliseconds{0};
+    confirmed_at_ = clock::now();
     if (std::exchange(log_lost_, false))
         decisions_.record(log_event::log_regained, {{"topic", topic_.get()}});
 }
@@ -119,6 +121,7 @@
             {{"topic", topic_.get()},
              {"cause", std::string(to_string(failure.kind))},
              {"detail", failure.detail},
+             {"confirmed_ms_ago", static_cast<std::int64_t>(unconfirmed_for().count())},
              {"next_offset", static_cast<std::int64_t>(next_offset_.get())}});
     next_read_delay_ = read_delay_.first;
     const bool restart_listing = listing || failure.kind == log_failure_kind::truncated ||
--- a/src/include/fescueridge/gateway/topic_follower.hpp
+++ b/src/include/fescueridge/gateway/topic_follower.hpp
@@ -39,6 +39,9 @@
     void start();
     void stop();
 
+    /// Returns the time since the log last answered, with records or with none.
+    milliseconds unconfirmed_for() const { return clock::now() - confirmed_at_; }
+
 private:
     void list_keys(const std::string& after);
     void read_records();
@@ -57,6 +60,7 @@
     milliseconds next_read_delay_;
     asio::steady_timer timer_;
     log_offset next_offset_;
+    time_point confirmed_at_; ///< When the log last answered; the start before that.
     milliseconds retry_pause_{0};
     bool log_lost_ = false;
     bool stopped_ = false;
