--- a/src/include/fescueridge/transport/http_client_pool.hpp
+++ b/src/include/fescueridge/transport/http_client_pool.hpp
@@ -87,6 +87,10 @@
     /// How much sooner than the peer's own idle timeout a connection is closed, so that
     /// no request crosses the close of the peer.
     milliseconds idle_margin{1'000};
+
+    /// Closes all idle connections when a request that was sent times out: they may have
+    /// fallen silent together. For peers that answer every request within its timeout.
+    bool close_idle_after_timeout = false;
 };
 
 /// Tells whether an answer belongs to the request that waits on its connection. One that
--- a/src/transport/http_client_pool.cpp
+++ b/src/transport/http_client_pool.cpp
@@ -173,6 +173,7 @@
 void http_client_pool_impl::abort(const call_ptr& call, http_failure_kind kind)
 {
     std::shared_ptr<client_connection> connection;
+    work todo;
     {
         const std::lock_guard lock(mutex_);
         const auto place = std::find(queue_.begin(), queue_.end(), call);
@@ -180,9 +181,13 @@
             queue_.erase(place);
         else
             connection = call->connection_;
+        if (connection && kind == http_failure_kind::timed_out &&
+            options_.close_idle_after_timeout)
+            todo.closes = std::exchange(idle_, {});
         call->abort_kind_ = kind;
         call->aborted_ = true;
     }
+    carry_out(todo);
     if (connection)
         return connection->abort(call, kind);
     if (kind == http_failure_kind::timed_out)
--- a/src/transport/http_client_pool_test.cpp
+++ b/src/transport/http_client_pool_test.cpp
@@ -237,6 +237,7 @@
     io_threads threads;
     raw_listener listener;
     http_client_options options;
+    options.close_idle_after_timeout = true;
     http_client_pool pool(threads.io, listener.bound(), connection_count(4), options);
     auto first = send(pool);
     auto second = send(pool);
