Bound the time for which a configuration goes unconfirmed

Cause: a node's only evidence that its version was the newest was a read that waits 20 s; on a silent connection it looks like a log without news, and when all connections fall silent no peer knows more.

Change: freshness.hpp lists every belief of the gateway with its bound and what confirms it. The configuration is confirmed by an answer of the log or by a peer's report with the age of its own confirmation; after 0.2 to 0.4 of config_apply_s a node probes the log beside the waiting read.

--- a/src/codec/gateway_codec.cpp
+++ b/src/codec/gateway_codec.cpp
@@ -9,6 +9,7 @@
 
 constexpr std::int64_t max_32 = std::numeric_limits<std::uint32_t>::max();
 constexpr std::int64_t max_time_ms = 3'600'000;
+constexpr std::int64_t max_age_ms = 1'000'000 * max_time_ms;
 
 template <class... Fields>
 void append(json& out, Fields&&... fields)
@@ -198,16 +199,18 @@
     json servers = json::array();
     if (m.server)
         servers.push_back(to_array(*m.server));
-    append(out, m.version.get(), std::move(servers), m.accepting ? 1 : 0, m.load.running,
-           m.load.waiting, m.limit, to_thousandths(m.queue_wait_share),
-           to_thousandths(m.service_ms), to_array(m.arrivals), m.with_learned ? 1 : 0,
-           to_array(m.slot_times), std::move(calls));
+    append(out, m.version.get(), m.config_unconfirmed_for.count(), std::move(servers),
+           m.accepting ? 1 : 0, m.load.running, m.load.waiting, m.limit,
+           to_thousandths(m.queue_wait_share), to_thousandths(m.service_ms),
+           to_array(m.arrivals), m.with_learned ? 1 : 0, to_array(m.slot_times),
+           std::move(calls));
 }
 
 node_report_message read_node_report(field_reader& in)
 {
     node_report_message m;
     m.version = config_version(in.unsigned64());
+    m.config_unconfirmed_for = milliseconds(in.number<std::int64_t>(0, max_age_ms));
     for (const json& fields : in.array(1))
         m.server = read_server(fields);
     m.accepting = in.number<int>(0, 1) == 1;
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -2,19 +2,13 @@
 
 #include <algorithm>
 
+#include "fescueridge/gateway/freshness.hpp"
+
 namespace fescueridge::gateway
 {
-namespace
-{
-
-/// Reports older than this are ignored.
-constexpr milliseconds max_report_age{1'500};
-
-} // namespace
-
 void fleet_view::add(const node_report_message& report, time_point report_time)
 {
-    if (now_ - report_time > max_report_age)
+    if (now_ - report_time > freshness::max_report_age)
         return;
     for (const auto& route : report.arrivals)
     {
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -255,8 +255,13 @@
         if (record.key == settings_.config_key && !record.value.empty())
             apply_config(record.value, "log");
     };
+    config_callbacks.on_probe_answered = [this]
+    {
+        schedule_report();
+    };
     config_follower_ = std::make_shared<topic_follower>(
-        io_, log_, decisions_, settings_.config_topic, std::move(config_callbacks));
+        io_, log_, decisions_, settings_.config_topic, std::move(config_callbacks),
+        read_delay{}, freshness::probe_timing::for_config(settings_.bounds.config_apply));
     config_follower_->start();
     records_.start();
 }
@@ -393,7 +398,13 @@
 {
     const auto have = table_ ? table_->config().version : config_version(0);
     const auto now = clock::now();
-    if (from.report.version <= have || now < next_config_pull_ || !from.connection)
+    if (from.report.version <= have)
+    {
+        if (table_)
+            config_follower_->confirm(now - from.report.config_unconfirmed_for);
+        return;
+    }
+    if (now < next_config_pull_ || !from.connection)
         return;
     next_config_pull_ = now + config_pull_interval;
     from.connection->send(config_pull_message{have});
@@ -403,6 +414,7 @@
 {
     node_report_message report;
     report.version = table_ ? table_->config().version : config_version(0);
+    report.config_unconfirmed_for = config_follower_->unconfirmed_for();
     executor_.fill_report(report);
     report.arrivals = router_.arrivals();
     if (with_learned)
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "fescueridge/base/overloaded.hpp"
+#include "fescueridge/gateway/freshness.hpp"
 
 namespace fescueridge::gateway
 {
@@ -17,15 +18,10 @@
 /// each other at the same time from opening two links.
 constexpr milliseconds higher_name_dial_delay{300};
 
-/// Heartbeat interval and timeouts of the links. A link that is silent for longer than
-/// the timeout is closed: its pending requests fail, and the peer receives no new ones.
-constexpr link_options link_heartbeat{milliseconds{200}, milliseconds{1'200},
+/// Heartbeat interval and timeouts of the links.
+constexpr link_options link_heartbeat{milliseconds{200}, freshness::max_link_silence,
                                       milliseconds{1'000}};
 
-/// A peer whose link has been silent for longer than this, with two heartbeats missing,
-/// receives no new requests.
-constexpr milliseconds unresponsive_silence{550};
-
 forward_reply_message link_lost_reply(std::uint64_t number)
 {
     forward_reply_message reply;
@@ -290,7 +286,8 @@
 
 bool peers::is_unresponsive(const peer& other)
 {
-    return !other.connection || other.connection->silent_for() > unresponsive_silence;
+    return !other.connection ||
+           other.connection->silent_for() > freshness::max_responsive_silence;
 }
 
 void peers::broadcast(const link_message& message)
--- a/src/gateway/run_executor.cpp
+++ b/src/gateway/run_executor.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "fescueridge/base/random.hpp"
+#include "fescueridge/gateway/freshness.hpp"
 #include "run_replies.hpp"
 
 namespace fescueridge::gateway
@@ -30,12 +31,6 @@
 constexpr milliseconds health_check_interval{300};
 constexpr milliseconds health_check_timeout{500};
 
-/// A server that has not answered for this many mean slot times, and for at least the
-/// minimum below, is suspected and must pass a health check before it receives more
-/// requests.
-constexpr double max_silent_slot_times = 10;
-constexpr milliseconds min_silence{1'000};
-
 /// Idle timeout of connections to a server that does not state one.
 constexpr milliseconds default_idle_timeout{4'000};
 
@@ -339,8 +334,8 @@
     handle_server_change(tracker_.poll(now), "heartbeats_missing");
     const auto silent_for = now - last_answer_;
     const milliseconds max_silence(std::max<std::int64_t>(
-        min_silence.count(),
-        static_cast<std::int64_t>(max_silent_slot_times * queue_.slot_ms())));
+        freshness::min_server_silence.count(),
+        static_cast<std::int64_t>(freshness::max_silent_slot_times * queue_.slot_ms())));
     if (queue_.running() > 0 && tracker_.accepts() && silent_for > max_silence)
         handle_server_change(tracker_.on_no_answer(), "no_answers");
     const bool server_unknown = !tracker_.server();
--- a/src/gateway/server_tracker.cpp
+++ b/src/gateway/server_tracker.cpp
@@ -2,14 +2,13 @@
 
 #include <algorithm>
 
+#include "fescueridge/gateway/freshness.hpp"
+
 namespace fescueridge::gateway
 {
 namespace
 {
 
-/// Number of missing heartbeats after which a server is suspected.
-constexpr int max_missing_heartbeats = 4;
-
 bool is_leaving(server_state state)
 {
     return state == server_state::draining || state == server_state::gone;
@@ -179,7 +178,8 @@
 
 server_change server_tracker::poll(time_point now)
 {
-    if (!accepts() || now - last_seen_ < max_missing_heartbeats * heartbeat_interval_)
+    if (!accepts() ||
+        now - last_seen_ < freshness::max_missing_heartbeats * heartbeat_interval_)
         return server_change::none;
     return on_no_answer();
 }
--- a/src/gateway/topic_follower.cpp
+++ b/src/gateway/topic_follower.cpp
@@ -7,13 +7,12 @@
 namespace
 {
 
-/// Maximum wait of a read for new records. A silent connection to the log is detected
-/// after this time plus the margin; until then peers supply new configurations.
-constexpr milliseconds max_read_wait{20'000};
-constexpr milliseconds read_timeout_margin{1'000};
-
 constexpr milliseconds list_timeout{1'000};
 
+/// Shortest delay of a probe, as a fraction of the longest. With random delays one node
+/// probes first, and its report confirms the topic for its peers.
+constexpr double min_probe_delay_fraction = 0.5;
+
 /// Range of the exponential backoff after failures. The first pause is short, because a
 /// single lost answer is the most common failure.
 constexpr milliseconds min_retry_pause{100};
@@ -23,38 +22,46 @@
 
 topic_follower::topic_follower(asio::io_context& io, keyed_log& log,
                                decision_log& decisions, topic_name topic,
-                               topic_callbacks callbacks, read_delay delay)
+                               topic_callbacks callbacks, read_delay delay,
+                               std::optional<freshness::probe_timing> probes)
     : log_(log), decisions_(decisions), topic_(std::move(topic)),
       callbacks_(std::move(callbacks)), read_delay_(delay), next_read_delay_(delay.first),
-      timer_(io)
+      probes_(probes), timer_(io), probe_timer_(io), random_(random_seed())
 {
 }
 
 void topic_follower::start()
 {
     confirmed_at_ = clock::now();
+    if (probes_)
+    {
+        probe_timeout_ = probes_->timeout;
+        schedule_probe(next_probe_delay());
+    }
     list_keys({});
 }
 
 void topic_follower::stop()
 {
     stopped_ = true;
+    probe_timer_.cancel();
     timer_.cancel();
 }
 
 void topic_follower::list_keys(const std::string& after)
 {
     list_after_key_ = after;
-    log_.list_newest(topic_, after, list_timeout,
-                     [weak = weak_from_this()](log_result<newest_page> result)
-                     {
-                         const auto self = weak.lock();
-                         if (!self || self->stopped_)
-                             return;
-                         if (const auto* failure = std::get_if<log_failure>(&result))
-                             return self->on_failure(*failure, true);
-                         self->on_page(std::get<newest_page>(result));
-                     });
+    log_.list_newest(
+        topic_, after, list_timeout,
+        [weak = weak_from_this(), chain = chain_](log_result<newest_page> result)
+        {
+            const auto self = weak.lock();
+            if (!self || self->stopped_ || self->chain_ != chain)
+                return;
+            if (const auto* failure = std::get_if<log_failure>(&result))
+                return self->on_failure(*failure, true);
+            self->on_page(std::get<newest_page>(result));
+        });
 }
 
 void topic_follower::on_page(const newest_page& page)
@@ -73,11 +80,12 @@
 
 void topic_follower::read_records()
 {
-    log_.read(topic_, next_offset_, max_read_wait, max_read_wait + read_timeout_margin,
-              [weak = weak_from_this()](log_result<record_batch> result)
+    log_.read(topic_, next_offset_, freshness::max_read_wait,
+              freshness::max_read_wait + freshness::read_timeout_margin,
+              [weak = weak_from_this(), chain = chain_](log_result<record_batch> result)
               {
                   const auto self = weak.lock();
-                  if (!self || self->stopped_)
+                  if (!self || self->stopped_ || self->chain_ != chain)
                       return;
                   if (const auto* failure = std::get_if<log_failure>(&result))
                       return self->on_failure(*failure, false);
@@ -85,9 +93,8 @@
               });
 }
 
-void topic_follower::on_batch(const record_batch& batch)
+void topic_follower::deliver(const record_batch& batch)
 {
-    on_success();
     next_offset_ = std::max(next_offset_, batch.next);
     if (batch.unreadable > 0)
         decisions_.record(log_event::records_unreadable,
@@ -95,6 +102,12 @@
                            {"records", static_cast<std::int64_t>(batch.unreadable)}});
     for (const auto& record : batch.records)
         callbacks_.on_record(record);
+}
+
+void topic_follower::on_batch(const record_batch& batch)
+{
+    on_success();
+    deliver(batch);
     if (stopped_)
         return;
     if (batch.records.empty())
@@ -115,14 +128,7 @@
 
 void topic_follower::on_failure(const log_failure& failure, bool listing)
 {
-    if (!std::exchange(log_lost_, true))
-        decisions_.record(
-            log_event::log_lost,
-            {{"topic", topic_.get()},
-             {"cause", std::string(to_string(failure.kind))},
-             {"detail", failure.detail},
-             {"confirmed_ms_ago", static_cast<std::int64_t>(unconfirmed_for().count())},
-             {"next_offset", static_cast<std::int64_t>(next_offset_.get())}});
+    log_failure_once(failure);
     next_read_delay_ = read_delay_.first;
     const bool restart_listing = listing || failure.kind == log_failure_kind::truncated ||
                                  failure.kind == log_failure_kind::malformed;
@@ -138,22 +144,115 @@
         });
 }
 
+void topic_follower::log_failure_once(const log_failure& failure)
+{
+    if (!std::exchange(log_lost_, true))
+        decisions_.record(
+            log_event::log_lost,
+            {{"topic", topic_.get()},
+             {"cause", std::string(to_string(failure.kind))},
+             {"detail", failure.detail},
+             {"confirmed_ms_ago", static_cast<std::int64_t>(unconfirmed_for().count())},
+             {"next_offset", static_cast<std::int64_t>(next_offset_.get())}});
+}
+
 void topic_follower::schedule_retry(const std::function<void()>& next)
 {
     retry_pause_ = std::clamp(2 * retry_pause_, min_retry_pause, max_retry_pause);
-    schedule(retry_pause_, next);
+    retry_scheduled_ = true;
+    schedule(retry_pause_,
+             [this, next]
+             {
+                 retry_scheduled_ = false;
+                 next();
+             });
 }
 
 void topic_follower::schedule(milliseconds delay, const std::function<void()>& next)
 {
     timer_.expires_after(delay);
     timer_.async_wait(
-        [weak = weak_from_this(), next](asio::error_code ec)
+        [weak = weak_from_this(), next, chain = chain_](asio::error_code ec)
         {
             const auto self = weak.lock();
-            if (!ec && self && !self->stopped_)
+            if (!ec && self && !self->stopped_ && self->chain_ == chain)
                 next();
         });
 }
 
+milliseconds topic_follower::next_probe_delay()
+{
+    std::uniform_real_distribution<double> fraction(min_probe_delay_fraction, 1);
+    return milliseconds(static_cast<std::int64_t>(
+        fraction(random_) * static_cast<double>(probes_->interval.count())));
+}
+
+void topic_follower::schedule_probe(milliseconds delay)
+{
+    probe_timer_.expires_after(delay);
+    probe_timer_.async_wait(
+        [weak = weak_from_this(), delay](asio::error_code ec)
+        {
+            const auto self = weak.lock();
+            if (ec || !self || self->stopped_)
+                return;
+            const auto remaining = delay - self->unconfirmed_for();
+            if (remaining > milliseconds{0})
+                self->schedule_probe(remaining);
+            else
+                self->probe();
+        });
+}
+
+void topic_follower::probe()
+{
+    // The next read confirms the topic soon enough.
+    if (retry_scheduled_)
+        return schedule_probe(next_probe_delay());
+    log_.read(topic_, next_offset_, milliseconds{0}, probe_timeout_,
+              [weak = weak_from_this()](const log_result<record_batch>& result)
+              {
+                  const auto self = weak.lock();
+                  if (self && !self->stopped_)
+                      self->on_probe(result);
+              });
+}
+
+void topic_follower::abandon_waiting_read()
+{
+    ++chain_;
+    retry_scheduled_ = false;
+    timer_.cancel();
+}
+
+// The waiting read is replaced when the probe shows that it has missed records.
+void topic_follower::on_probe(const log_result<record_batch>& result)
+{
+    schedule_probe(next_probe_delay());
+    if (const auto* failure = std::get_if<log_failure>(&result))
+    {
+        if (failure->kind == log_failure_kind::unknown)
+            probe_timeout_ = std::min(2 * probe_timeout_, freshness::max_probe_timeout);
+        log_failure_once(*failure);
+        if (failure->kind != log_failure_kind::truncated)
+            return;
+        abandon_waiting_read();
+        return list_keys({});
+    }
+    on_success();
+    probe_timeout_ = probes_->timeout;
+    const auto& batch = std::get<record_batch>(result);
+    const bool read_missed_records = batch.next > next_offset_;
+    deliver(batch);
+    if (stopped_)
+        return;
+    if (read_missed_records)
+    {
+        abandon_waiting_read();
+        read_records();
+    }
+    if (callbacks_.on_probe_answered)
+        callbacks_.on_probe_answered();
+}
+
 } // namespace fescueridge::gateway
--- a/src/gateway/topic_follower_test.cpp
+++ b/src/gateway/topic_follower_test.cpp
@@ -123,7 +123,8 @@
         ++received;
     };
     const auto follower = std::make_shared<topic_follower>(
-        io, log, decisions, topic_name("op"), std::move(callbacks));
+        io, log, decisions, topic_name("op"), std::move(callbacks), read_delay{},
+        freshness::probe_timing::for_config(milliseconds{2'000}));
     follower->start();
     io.run_for(std::chrono::milliseconds(2'000));
     follower->stop();
--- a/src/include/fescueridge/codec/gateway_messages.hpp
+++ b/src/include/fescueridge/codec/gateway_messages.hpp
@@ -131,6 +131,8 @@
 struct node_report_message
 {
     config_version version;
+    /// Time since it was certain that the log had no newer version.
+    milliseconds config_unconfirmed_for{0};
     std::optional<server_record> server;
     bool accepting = false; ///< The node takes forwarded requests for its server.
     server_load load;
--- /dev/null
+++ b/src/include/fescueridge/gateway/freshness.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "fescueridge/base/clock.hpp"
+
+namespace fescueridge::gateway::freshness
+{
+
+/// Bounds on the time for which a node acts on what it knows about the rest of the system
+/// without a confirmation. Every belief that others can change has its bound here:
+///
+/// | belief | confirmed by | when the bound passes |
+/// | --- | --- | --- |
+/// | the configuration is the newest one | an answer of the log, or a peer whose own one
+/// is confirmed and not newer | a probe of the log beside the waiting read | | the list
+/// of nodes is complete | an answer of the log to the waiting read | the read is repeated
+/// on a new connection | | a link works | any bytes from the peer | no new requests on
+/// it, then it is closed and dialled again | | a peer's report is current | the next
+/// report | its demand and its server no longer count | | the own server is alive | a
+/// heartbeat; while requests run, an answer | health checks before it gets more requests
+/// |
+///
+/// Requests have their deadlines as bounds; the transport bounds the opening of a
+/// connection.
+
+/// Timing of the probes that confirm a topic while its read waits.
+struct probe_timing
+{
+    milliseconds interval; ///< Maximum time without a confirmation before a probe.
+    milliseconds timeout;  ///< Of a probe; the next one uses a new connection.
+
+    /// Returns the timing for the configuration, which must be in force everywhere within
+    /// `apply_bound` after the log has it. Two fifths of that time are left for a new
+    /// connection and a second probe.
+    static constexpr probe_timing for_config(milliseconds apply_bound)
+    {
+        return {apply_bound * 2 / 5, apply_bound / 5};
+    }
+};
+
+/// Longest timeout of probes that keep timing out. It lets a log that answers slowly
+/// answer at all.
+constexpr milliseconds max_probe_timeout{5'000};
+
+/// Maximum wait of a read for new records, and the time after that in which the log must
+/// have answered.
+constexpr milliseconds max_read_wait{20'000};
+constexpr milliseconds read_timeout_margin{1'000};
+
+/// A link that is silent for longer is closed: its pending requests fail.
+constexpr milliseconds max_link_silence{1'200};
+
+/// A peer whose link is silent for longer, with two link heartbeats missing, receives no
+/// new requests.
+constexpr milliseconds max_responsive_silence{550};
+
+/// Reports older than this are ignored.
+constexpr milliseconds max_report_age{1'500};
+
+/// Number of missing heartbeats after which a server is suspected.
+constexpr int max_missing_heartbeats = 4;
+
+/// A server that has not answered for this many mean slot times, and for at least the
+/// minimum below, is suspected and must pass a health check before it receives more
+/// requests.
+constexpr double max_silent_slot_times = 10;
+constexpr milliseconds min_server_silence{1'000};
+
+} // namespace fescueridge::gateway::freshness
--- a/src/include/fescueridge/gateway/settings.hpp
+++ b/src/include/fescueridge/gateway/settings.hpp
@@ -11,7 +11,8 @@
 /// Limits that the deployment guarantees to its users.
 struct service_bounds
 {
-    milliseconds grace{6'000}; ///< Time from the stop signal to the kill.
+    milliseconds grace{6'000};        ///< Time from the stop signal to the kill.
+    milliseconds config_apply{2'000}; ///< From the log to all nodes.
     milliseconds retry_window{10'000};
     double retry_ratio = 0.2; ///< Maximum ratio of repeated arrivals to requests.
     double retry_slack = 0;   ///< Repeated arrivals per window beyond the ratio.
