Hold the rate that a backend server states

Cause: nothing read the field or limited a rate. Change: the node beside the server, the only sender, keeps the rate in force and starts no request above it; reports carry it, so that peers admit and place by it and give it back to a restarted process.

--- a/src/codec/gateway_codec.cpp
+++ b/src/codec/gateway_codec.cpp
@@ -53,6 +53,20 @@
     return static_cast<double>(in.number<std::int64_t>()) / thousandths;
 }
 
+/// A rate of 0 stands for no limit.
+json to_thousandths(const std::optional<call_rate>& rate)
+{
+    constexpr std::int64_t lowest = 1;
+    return rate ? std::max<std::int64_t>(lowest, std::llround(rate->get() * thousandths))
+                : 0;
+}
+
+std::optional<call_rate> read_max_rate(field_reader& in)
+{
+    const double rate = from_thousandths(in);
+    return rate > 0 ? std::optional<call_rate>(call_rate(rate)) : std::nullopt;
+}
+
 json to_array(const std::vector<route_arrivals>& entries)
 {
     json out = json::array();
@@ -201,9 +215,9 @@
         servers.push_back(to_array(*m.server));
     append(out, m.version.get(), m.config_unconfirmed_for.count(), std::move(servers),
            m.accepting ? 1 : 0, m.load.running, m.load.waiting, m.limit,
-           to_thousandths(m.queue_wait_share), to_thousandths(m.service_ms),
-           to_array(m.arrivals), m.with_learned ? 1 : 0, to_array(m.slot_times),
-           std::move(calls));
+           to_thousandths(m.max_rate), to_thousandths(m.queue_wait_share),
+           to_thousandths(m.service_ms), to_array(m.arrivals), m.with_learned ? 1 : 0,
+           to_array(m.slot_times), std::move(calls));
 }
 
 node_report_message read_node_report(field_reader& in)
@@ -216,6 +230,7 @@
     m.accepting = in.number<int>(0, 1) == 1;
     m.load = read_load(in);
     m.limit = in.number<std::uint32_t>(0, max_32);
+    m.max_rate = read_max_rate(in);
     m.queue_wait_share = from_thousandths(in);
     m.service_ms = from_thousandths(in);
     m.arrivals = read_arrivals(in);
@@ -292,7 +307,7 @@
 
 void append_fields(json& out, const own_server_message& m)
 {
-    append(out, json::array({to_array(m.server)}));
+    append(out, json::array({to_array(m.server)}), to_thousandths(m.max_rate));
 }
 
 own_server_message read_own_server(field_reader& in)
@@ -300,7 +315,10 @@
     const json& servers = in.array(1);
     if (servers.size() != 1)
         throw codec_error("message does not name one server");
-    return {read_server(servers.front())};
+    own_server_message m;
+    m.server = read_server(servers.front());
+    m.max_rate = read_max_rate(in);
+    return m;
 }
 
 } // namespace fescueridge::detail
--- a/src/codec/gateway_codec_test.cpp
+++ b/src/codec/gateway_codec_test.cpp
@@ -46,6 +46,7 @@
     report.accepting = true;
     report.load = {3, 4};
     report.limit = 27;
+    report.max_rate = call_rate(40.5);
     report.queue_wait_share = 1.5;
     report.service_ms = 22.25;
     report.arrivals = {{route_name("r1"), 10.5, 0.25}};
@@ -86,6 +87,9 @@
     cr_assert(report.server.has_value());
     cr_expect_eq(report.server->born_ms, 1'700'000'000'000);
     cr_expect_float_eq(report.service_ms, 22.25, 1e-9);
+    cr_assert(report.max_rate.has_value());
+    cr_expect_float_eq(report.max_rate->get(), 40.5, 1e-9);
+    cr_expect_not(round_trip(node_report_message{}).max_rate.has_value());
     cr_expect_float_eq(report.arrivals.at(0).returned_per_s, 0.25, 1e-9);
     cr_expect_float_eq(report.slot_times.at(0).ms, 22.125, 1e-9);
     cr_expect_float_eq(report.calls.at(0).calls_per_run, 4, 1e-9);
@@ -102,8 +106,11 @@
     cr_expect_str_eq(
         round_trip(config_push_message{config_version(9), "{}"}).content.c_str(), "{}");
     cr_expect_eq(round_trip(suspect_message{fingerprint(3), 4}).crash, 4U);
-    const auto own = round_trip(own_server_message{*make_report().server});
+    const auto own =
+        round_trip(own_server_message{*make_report().server, call_rate(12.5)});
     cr_expect_str_eq(own.server.id.get().c_str(), "i-1");
+    cr_assert(own.max_rate.has_value());
+    cr_expect_float_eq(own.max_rate->get(), 12.5, 1e-9);
     cr_expect_eq(round_trip(forward_cancel_message{42}).number, 42U);
 }
 
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -221,9 +221,9 @@
     {
         executor_.on_suspect(suspect);
     };
-    callbacks.on_own_server = [this](const server_record& server)
+    callbacks.on_own_server = [this](const own_server_message& own)
     {
-        executor_.on_server_record_from_peer(server);
+        executor_.on_server_record_from_peer(own);
     };
     return callbacks;
 }
--- a/src/gateway/metrics_text.cpp
+++ b/src/gateway/metrics_text.cpp
@@ -77,12 +77,14 @@
 
 void add_executor(text_writer& out, const run_executor& executor)
 {
-    const auto& counters = executor.counters();
+    const auto counters = executor.counters();
     out.add("runs_answered_total", "", counters.answered);
     out.add("runs_turned_away_total", "", counters.turned_away);
     out.add("runs_rejected_by_server_total", "", counters.rejected_by_server);
     out.add("runs_broken_off_total", "", counters.broken_off);
     out.add("health_checks_total", "", counters.health_checks);
+    out.add("runs_delayed_by_rate_total", "", counters.delayed_by_rate);
+    out.add("server_rates_unusable_total", "", counters.unusable_rates);
     out.add("server_connections_opened_total", "", executor.connections_opened());
     node_report_message report;
     executor.fill_report(report);
@@ -90,6 +92,8 @@
     out.add("server_running", "", report.load.running);
     out.add("server_waiting", "", report.load.waiting);
     out.add("server_limit", "", report.limit);
+    out.add("server_max_rate_per_second", "",
+            report.max_rate ? report.max_rate->get() : 0);
     out.add("server_queue_wait_share", "", report.queue_wait_share);
     out.add("server_slot_milliseconds", "", report.service_ms);
     out.add_histogram("run_duration_seconds", "", executor.run_times());
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -164,7 +164,7 @@
 {
     if (!about.report.server)
         return;
-    to->send(own_server_message{*about.report.server});
+    to->send(own_server_message{*about.report.server, about.report.max_rate});
 }
 
 void peers::on_close(const link_ptr& closed)
@@ -202,7 +202,7 @@
                    [&](config_pull_message& m) { callbacks_.on_config_pull(from, m); },
                    [&](config_push_message& m) { callbacks_.on_config_push(m); },
                    [&](suspect_message& m) { callbacks_.on_suspect(m); },
-                   [&](own_server_message& m) { callbacks_.on_own_server(m.server); },
+                   [&](own_server_message& m) { callbacks_.on_own_server(m); },
                    [&](known_nodes_message& m)
                    {
                        for (const auto& node : m.nodes)
--- a/src/gateway/run_executor.cpp
+++ b/src/gateway/run_executor.cpp
@@ -22,6 +22,10 @@
 /// briefly, and some servers slow down when nearly full.
 constexpr std::uint32_t spare_slots_percent = 6;
 
+/// Concurrent requests until the server has answered once: only then is it known whether
+/// it limits its rate.
+constexpr std::uint32_t max_runs_before_answer = 8;
+
 /// Time after the deadline during which a server's answer is still accepted.
 constexpr milliseconds late_answer_tolerance{100};
 
@@ -112,7 +116,9 @@
 
 void run_executor::set_slots(slot_count slots)
 {
-    const auto dequeued = queue_.set_limit(limit_for(slots), clock::now());
+    const auto limit = limit_for(slots);
+    const auto dequeued = queue_.set_limit(
+        answered_ ? limit : std::min(limit, max_runs_before_answer), clock::now());
     pool_->set_limit(connection_limit());
     start_and_drop(dequeued);
 }
@@ -144,6 +150,7 @@
                            (before->id != after->id || before->born_ms != 0);
     if (restarted)
         on_restart(*before);
+    select_server();
     if (after && after->state == server_state::ready)
         set_slots(after->slots);
     handle_server_change(change, "announcement");
@@ -153,6 +160,7 @@
 void run_executor::on_restart(const server_record& before)
 {
     replace_pool();
+    answered_ = false;
     if (before.state != server_state::ready)
         return;
     const auto crash =
@@ -161,10 +169,52 @@
         callbacks_.on_suspect(suspect);
 }
 
-void run_executor::on_server_record_from_peer(const server_record& server)
+void run_executor::on_server_record_from_peer(const own_server_message& own)
 {
-    handle_server_change(tracker_.on_server_record_from_peer(server, wall_clock_ms()),
+    rate_.remember(own.server, own.max_rate);
+    handle_server_change(tracker_.on_server_record_from_peer(own.server, wall_clock_ms()),
                          "memory_of_peer");
+    select_server();
+}
+
+void run_executor::select_server()
+{
+    if (tracker_.server() && rate_.select(*tracker_.server(), clock::now()))
+        apply_rate("memory_of_peer");
+}
+
+void run_executor::on_notice(const http_response& answer, time_point sent_at)
+{
+    const auto now = clock::now();
+    const bool first = !std::exchange(answered_, true);
+    if (rate_.on_answer(wire_.read_notice(answer), sent_at, now))
+        apply_rate("answer");
+    if (first && tracker_.server())
+        set_slots(tracker_.server()->slots);
+}
+
+void run_executor::apply_rate(const char* cause)
+{
+    constexpr double none = 0;
+    const auto before = queue_.max_rate();
+    const auto after = rate_.rate();
+    decisions_.record(log_event::server_rate_changed,
+                      {{"cause", std::string(cause)},
+                       {"server", tracker_.server() ? tracker_.server()->id.get() : ""},
+                       {"before_per_s", before ? before->get() : none},
+                       {"max_per_s", after ? after->get() : none},
+                       {"running", std::int64_t{queue_.running()}},
+                       {"waiting", std::int64_t{queue_.waiting()}}});
+    start_and_drop(queue_.set_max_rate(after, clock::now()));
+    callbacks_.on_server_changed();
+}
+
+executor_counters run_executor::counters() const
+{
+    auto counters = counters_;
+    counters.delayed_by_rate = queue_.delayed_by_rate();
+    counters.unusable_rates = rate_.unusable();
+    return counters;
 }
 
 void run_executor::handle_server_change(server_change change, const std::string& cause)
@@ -217,7 +267,8 @@
     report.server = tracker_.server();
     report.accepting = accepts();
     report.load = load();
-    report.limit = queue_.limit();
+    report.limit = queue_.usable_limit();
+    report.max_rate = queue_.max_rate();
     report.queue_wait_share = queue_.wait_share(clock::now());
     report.service_ms = queue_.slot_ms();
 }
@@ -355,7 +406,7 @@
     request.target = health_path_;
     health_check_pool_->send(
         request, health_check_timeout,
-        [this, alive = alive_](http_result result)
+        [this, alive = alive_, sent_at = clock::now()](http_result result)
         {
             if (!*alive)
                 return;
@@ -366,10 +417,12 @@
                 return;
             const auto now = clock::now();
             last_answer_ = now;
+            on_notice(*answer, sent_at);
             const bool server_unknown = !tracker_.server();
             const auto change = tracker_.on_health_check_passed(*id, assumed_slots, now);
             if (server_unknown && tracker_.server())
                 set_slots(tracker_.server()->slots);
+            select_server();
             handle_server_change(change, "health_check");
         });
 }
--- a/src/gateway/run_executor_answers.cpp
+++ b/src/gateway/run_executor_answers.cpp
@@ -22,8 +22,11 @@
 {
     last_answer_ = clock::now();
     handle_server_change(tracker_.on_answer(), "answer");
+    const auto verdict = wire_.classify_answer(answer);
+    if (verdict != server_verdict::wrong_server)
+        on_notice(answer, runs_.at(number).sent_at);
     const run& ended = runs_.at(number);
-    switch (wire_.classify_answer(answer))
+    switch (verdict)
     {
     case server_verdict::wrong_server:
         handle_server_change(tracker_.on_no_answer(), "another_server_has_the_address");
--- a/src/gateway/run_queue.cpp
+++ b/src/gateway/run_queue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace fescueridge::gateway
 {
@@ -23,6 +24,8 @@
 /// rest is needed for another server or a later client retry.
 constexpr double max_client_wait_share = 1.0 / 3;
 
+constexpr double ms_per_s = 1'000;
+
 double to_ms(clock::duration time)
 {
     return static_cast<double>(time.count());
@@ -61,7 +64,28 @@
     const auto before =
         static_cast<std::size_t>(std::distance(own.begin(), own.lower_bound(key)));
     const auto ahead = before + std::min(before + 1, other.size());
-    return static_cast<double>(ahead + 1) * slot_ms_ / std::max(1U, limit_);
+    const auto position = static_cast<double>(ahead + 1);
+    const double slot_wait_ms = position * slot_ms_ / std::max(1U, limit_);
+    return rate_ ? std::max(slot_wait_ms, position * ms_per_s / rate_->rate().get())
+                 : slot_wait_ms;
+}
+
+bool run_queue::rate_permits_start(time_point now)
+{
+    return !rate_ || rate_->has_token(now);
+}
+
+std::optional<call_rate> run_queue::max_rate() const
+{
+    return rate_ ? std::optional<call_rate>(rate_->rate()) : std::nullopt;
+}
+
+std::uint32_t run_queue::usable_limit() const
+{
+    if (!rate_ || slot_ms_ <= 0)
+        return limit_;
+    const double running = rate_->rate().get() * slot_ms_ / ms_per_s;
+    return std::min(limit_, static_cast<std::uint32_t>(std::ceil(running)));
 }
 
 offer_decision run_queue::offer(const run_offer& run, time_point now)
@@ -70,8 +94,12 @@
         return run_rejected{true};
     if (running_.size() < limit_ && waiting() == 0)
     {
-        start_run(run, now, now);
-        return run_started{};
+        if (rate_permits_start(now))
+        {
+            start_run(run, now, now);
+            return run_started{};
+        }
+        ++delayed_by_rate_;
     }
     const double wait_ms = expected_wait_ms(run, now);
     const bool ends_late =
@@ -90,6 +118,8 @@
 void run_queue::start_run(const run_offer& run, time_point arrival, time_point now)
 {
     running_.emplace(run.number, running_run{run.route, now});
+    if (rate_)
+        rate_->try_take(now);
     record_wait(run, arrival, now);
 }
 
@@ -113,7 +143,7 @@
 
 void run_queue::start_waiting(time_point now, dequeued_runs& dequeued)
 {
-    while (running_.size() < limit_ && waiting() > 0)
+    while (running_.size() < limit_ && waiting() > 0 && rate_permits_start(now))
     {
         const auto next = pop_next();
         if (is_expired(next, now))
@@ -205,6 +235,19 @@
     return dropped;
 }
 
+dequeued_runs run_queue::set_max_rate(std::optional<call_rate> rate, time_point now)
+{
+    if (!rate)
+        rate_.reset();
+    else if (rate_)
+        rate_->set_rate(*rate, now);
+    else
+        rate_.emplace(*rate, now);
+    dequeued_runs dequeued;
+    start_waiting(now, dequeued);
+    return dequeued;
+}
+
 dequeued_runs run_queue::set_limit(std::uint32_t limit, time_point now)
 {
     limit_ = limit;
--- a/src/gateway/run_queue_test.cpp
+++ b/src/gateway/run_queue_test.cpp
@@ -3,6 +3,7 @@
 #include "fescueridge/base/random.hpp"
 #include "fescueridge/gateway/run_queue.hpp"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 
@@ -110,6 +111,52 @@
     cr_expect_eq(queue.running(), 0U);
 }
 
+// Guards against a server that gets more than the rate that it states, by requests of
+// clients, by calls or after a pause.
+Test(run_queue, starts_no_more_than_the_rate_permits)
+{
+    constexpr int rate_per_s = 20;
+    constexpr int window_ms = 4'000;
+    run_queue queue(100);
+    queue.set_max_rate(call_rate(rate_per_s), start);
+    std::vector<int> starts;
+    std::uint64_t last_number = 0;
+    for (int ms = 0; ms < 12'000; ms += 10)
+    {
+        const auto now = start + milliseconds{ms};
+        const bool pause = ms > 5'000 && ms < 8'000;
+        std::vector<run_number> begun = queue.poll(now).to_start;
+        const run_offer run = make_offer(++last_number, 2'000, 5'000, now, ms % 20 == 0);
+        if (!pause && std::holds_alternative<run_started>(queue.offer(run, now)))
+            begun.push_back(run.number);
+        for (const run_number number : begun)
+        {
+            starts.push_back(ms);
+            queue.finish(number, now + milliseconds{5});
+        }
+    }
+    std::size_t most = 0;
+    for (auto first = starts.begin(); first != starts.end(); ++first)
+    {
+        const auto end = std::lower_bound(first, starts.end(), *first + window_ms);
+        most = std::max(most, static_cast<std::size_t>(end - first));
+    }
+    cr_expect_leq(most, rate_per_s * window_ms / 1'000 + 2U, "%zu", most);
+    cr_expect_geq(starts.size(), 9U * rate_per_s, "%zu", starts.size());
+    cr_expect_gt(queue.delayed_by_rate(), 0U);
+}
+
+// Guards against a limited server that is reported with all of its slots.
+Test(run_queue, reports_the_concurrency_that_the_rate_permits)
+{
+    run_queue queue(50);
+    record_slot_time(queue);
+    queue.set_max_rate(call_rate(100), start);
+    cr_expect_eq(queue.usable_limit(), 2U);
+    queue.set_max_rate(std::nullopt, start);
+    cr_expect_eq(queue.usable_limit(), 50U);
+}
+
 // A server with 27 slots of 22 ms receives calls at 1.3 times its capacity for 5 s,
 // together with lookups that have shorter target latencies. The overload of calls must
 // not starve the lookups: most must complete within their target latency.
--- a/src/include/fescueridge/codec/gateway_messages.hpp
+++ b/src/include/fescueridge/codec/gateway_messages.hpp
@@ -136,7 +136,8 @@
     std::optional<server_record> server;
     bool accepting = false; ///< The node takes forwarded requests for its server.
     server_load load;
-    std::uint32_t limit = 0;     ///< Requests that it lets run at the same time.
+    std::uint32_t limit = 0;           ///< Requests that it lets run at the same time.
+    std::optional<call_rate> max_rate; ///< Requests a second that the server accepts.
     double queue_wait_share = 0; ///< Mean wait for a slot, of late, as a part of the
     ///< target latencies.
     double service_ms = 0; ///< Mean time at the server, of late.
@@ -180,6 +181,7 @@
 struct own_server_message
 {
     server_record server;
+    std::optional<call_rate> max_rate; ///< Requests a second that the server accepts.
 };
 
 /// A request that was running when the backend server beside the sender crashed.
--- a/src/include/fescueridge/gateway/decision_log.hpp
+++ b/src/include/fescueridge/gateway/decision_log.hpp
@@ -30,6 +30,7 @@
     peer_lost,
     link_fault,
     server_changed,
+    server_rate_changed,
     announcement_unusable,
     shares_changed,
     request_rejected,
--- a/src/include/fescueridge/gateway/peers.hpp
+++ b/src/include/fescueridge/gateway/peers.hpp
@@ -47,7 +47,7 @@
     std::function<void(const suspect_message&)> on_suspect;
     /// A peer reports the state of this node's server from before a restart of this
     /// process.
-    std::function<void(const server_record&)> on_own_server;
+    std::function<void(const own_server_message&)> on_own_server;
 };
 
 /// Maintains the set of other nodes, the links to them, their reports and the requests
--- a/src/include/fescueridge/gateway/run_executor.hpp
+++ b/src/include/fescueridge/gateway/run_executor.hpp
@@ -10,6 +10,7 @@
 #include "fescueridge/gateway/crash_suspects.hpp"
 #include "fescueridge/gateway/decision_log.hpp"
 #include "fescueridge/gateway/run_queue.hpp"
+#include "fescueridge/gateway/server_rate.hpp"
 #include "fescueridge/gateway/server_tracker.hpp"
 #include "fescueridge/gateway/settings.hpp"
 #include "fescueridge/gateway/wire_format.hpp"
@@ -34,6 +35,8 @@
     std::uint64_t rejected_by_server = 0;
     std::uint64_t broken_off = 0;
     std::uint64_t health_checks = 0;
+    std::uint64_t delayed_by_rate = 0;
+    std::uint64_t unusable_rates = 0;
 };
 
 /// Runs requests at the backend server beside this node: tracks the state of the server,
@@ -61,7 +64,7 @@
 
     /// Processes an announcement of the server.
     server_change on_announcement(const server_announcement& announcement);
-    void on_server_record_from_peer(const server_record& server);
+    void on_server_record_from_peer(const own_server_message& own);
     void on_suspect(const suspect_message& suspect)
     {
         suspects_.on_suspect(suspect, clock::now());
@@ -85,7 +88,7 @@
     bool accepts() const { return !stopping_ && tracker_.accepts(); }
     std::size_t open_runs() const noexcept { return runs_.size(); }
     server_load load() const;
-    std::uint32_t limit() const noexcept { return queue_.limit(); }
+    std::uint32_t limit() const { return queue_.usable_limit(); }
 
     /// Moving average of the time at the server, in milliseconds; 0 when unknown.
     double service_ms() const noexcept { return queue_.slot_ms(); }
@@ -106,7 +109,7 @@
 
     void decay_call_graph() { call_graph_.decay(); }
 
-    const executor_counters& counters() const noexcept { return counters_; }
+    executor_counters counters() const;
     std::uint64_t connections_opened() const;
 
     /// Times from sending a request to the server to receiving its complete answer.
@@ -141,6 +144,9 @@
     std::uint32_t limit_for(slot_count slots) const;
     connection_count connection_limit() const;
     void set_slots(slot_count slots);
+    void on_notice(const http_response& answer, time_point sent_at);
+    void select_server();
+    void apply_rate(const char* cause);
     void on_restart(const server_record& before);
     void log_run(log_event event, const run& entry, const char* outcome);
 
@@ -150,6 +156,7 @@
     decision_log& decisions_;
     executor_callbacks callbacks_;
     server_tracker tracker_;
+    server_rate rate_;
     run_queue queue_;
     crash_suspects suspects_;
     call_graph_estimator call_graph_;
@@ -162,6 +169,7 @@
     std::uint32_t max_connections_ = 0;
     time_point last_answer_{};
     time_point next_health_check_{};
+    bool answered_ = false; ///< This start of the server has answered this process.
     bool health_check_running_ = false;
     bool stopping_ = false;
     executor_counters counters_;
--- a/src/include/fescueridge/gateway/run_queue.hpp
+++ b/src/include/fescueridge/gateway/run_queue.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <tuple>
 #include <unordered_map>
 #include <variant>
@@ -9,6 +10,7 @@
 
 #include "fescueridge/base/clock.hpp"
 #include "fescueridge/base/types.hpp"
+#include "fescueridge/overload/limits.hpp"
 
 namespace fescueridge::gateway
 {
@@ -59,6 +61,8 @@
 /// - Within a priority, the request whose target latency expires first starts first.
 /// - A client request is rejected as soon as its expected wait exceeds a third of its
 ///   target latency, because another server or a later client retry serves it better.
+/// - A server may limit the rate of its requests. Requests above the rate wait in the
+///   same queues. Unused requests are saved up for a tenth of a second only.
 /// - A call of a running request may wait as long as its deadline permits, because
 ///   rejecting it wastes the work already done by its callers.
 class run_queue
@@ -82,7 +86,19 @@
 
     dequeued_runs set_limit(std::uint32_t limit, time_point now);
 
+    /// Limits the requests started per second; null for no limit.
+    dequeued_runs set_max_rate(std::optional<call_rate> rate, time_point now);
+
+    std::optional<call_rate> max_rate() const;
+
+    /// Number of requests that could not start at once because of the rate alone.
+    std::uint64_t delayed_by_rate() const noexcept { return delayed_by_rate_; }
+
     std::uint32_t limit() const noexcept { return limit_; }
+
+    /// Returns the number of requests that run concurrently when the server is fully
+    /// used: the limit, or less when the rate permits less.
+    std::uint32_t usable_limit() const;
     std::uint32_t running() const noexcept
     {
         return static_cast<std::uint32_t>(running_.size());
@@ -141,6 +157,7 @@
     double expected_wait_ms(const run_offer& run, time_point now) const;
     double expected_slot_ms(const route_name& route) const;
     bool is_expired(const waiting_run& run, time_point now) const;
+    bool rate_permits_start(time_point now);
     void start_run(const run_offer& run, time_point arrival, time_point now);
     void start_waiting(time_point now, dequeued_runs& dequeued);
     waiting_run pop_next();
@@ -148,6 +165,8 @@
     void record_wait(const run_offer& run, time_point arrival, time_point now);
 
     std::uint32_t limit_;
+    std::optional<token_bucket> rate_;
+    std::uint64_t delayed_by_rate_ = 0;
     std::uint64_t next_order_ = 0;
     waiting_queue clients_; ///< Client requests.
     waiting_queue calls_;   ///< Calls of running requests.
--- a/src/include/fescueridge/gateway/wire_format.hpp
+++ b/src/include/fescueridge/gateway/wire_format.hpp
@@ -29,6 +29,13 @@
     unmarked_not_run
 };
 
+/// What a backend server states about itself in any of its answers.
+struct server_notice
+{
+    std::optional<call_rate> max_rate; ///< Accepted requests per second of all nodes.
+    bool max_rate_unusable = false; ///< A rate is stated that is not a positive number.
+};
+
 /// Reason for which the gateway rejects a request.
 enum class rejection : std::uint8_t
 {
@@ -96,6 +103,9 @@
     /// Returns the outcome of the request according to an answer.
     virtual server_verdict classify_answer(const http_response& answer) const = 0;
 
+    /// Returns what the server states about itself in an answer.
+    virtual server_notice read_notice(const http_response& answer) const = 0;
+
     /// Returns the answer to a request that the gateway rejects. `retry_after` is the
     /// time after which the client may retry.
     virtual http_response
--- a/src/include/fescueridge/overload/limits.hpp
+++ b/src/include/fescueridge/overload/limits.hpp
@@ -34,6 +34,9 @@
     /// Takes a token; returns false if the bucket is empty.
     bool try_take(time_point now);
 
+    /// Returns whether try_take() would succeed.
+    bool has_token(time_point now);
+
     /// Changes the rate. Keeps the tokens in the bucket, up to the new capacity.
     void set_rate(call_rate rate, time_point now);
 
--- a/src/overload/limits.cpp
+++ b/src/overload/limits.cpp
@@ -44,10 +44,15 @@
     }
 }
 
-bool token_bucket::try_take(time_point now)
+bool token_bucket::has_token(time_point now)
 {
     refill(now);
-    if (tokens_ < 1.0)
+    return tokens_ >= 1.0;
+}
+
+bool token_bucket::try_take(time_point now)
+{
+    if (!has_token(now))
     {
         return false;
     }
