Restore the list of bounds in freshness.hpp

The formatter had joined the rows of a table in a comment into one paragraph that could not be read. The same content as a list, with the rate that a server states. Comments only.

--- a/src/include/fescueridge/gateway/freshness.hpp
+++ b/src/include/fescueridge/gateway/freshness.hpp
@@ -8,16 +8,20 @@
 /// Bounds on the time for which a node acts on what it knows about the rest of the system
 /// without a confirmation. Every belief that others can change has its bound here:
 ///
-/// | belief | confirmed by | when the bound passes |
-/// | --- | --- | --- |
-/// | the configuration is the newest one | an answer of the log, or a peer whose own one
-/// is confirmed and not newer | a probe of the log beside the waiting read | | the list
-/// of nodes is complete | an answer of the log to the waiting read | the read is repeated
-/// on a new connection | | a link works | any bytes from the peer | no new requests on
-/// it, then it is closed and dialled again | | a peer's report is current | the next
-/// report | its demand and its server no longer count | | the own server is alive | a
-/// heartbeat; while requests run, an answer | health checks before it gets more requests
-/// |
+/// - The configuration is the newest one. Confirmed by an answer of the log, or by a peer
+///   whose own one is confirmed and not newer; else the node probes the log beside the
+///   waiting read.
+/// - The list of nodes is complete. Confirmed by an answer of the log to the waiting
+/// read;
+///   else the read is repeated on a new connection.
+/// - A link works. Confirmed by any bytes from the peer; else no new requests go out on
+///   it, then it is closed and dialled again.
+/// - A peer's report is current. Confirmed by the next report; else its demand and its
+///   server no longer count.
+/// - The own server states a rate limit. Confirmed by every answer; an answer to a later
+///   request without a limit ends it.
+/// - The own server is alive. Confirmed by a heartbeat and, while requests run, by an
+///   answer; else it must pass a health check before it gets more requests.
 ///
 /// Requests have their deadlines as bounds; the transport bounds the opening of a
 /// connection.
