Send nothing to a server that states its leaving in its answers

What servers saw: requests up to their end, and after a restart of the node beside them, although all their answers said that they leave (the field is new on the users' pages, DRAIN). Cause: nothing read it. Change: the adapter reads it, and the tracker takes the server for draining from the first such answer, for good for this start; peers and a restarted process learn it as they learn an announced leaving.

Unit test keeps_a_server_out_that_stated_its_leaving passes.

--- a/src/gateway/run_executor.cpp
+++ b/src/gateway/run_executor.cpp
@@ -187,7 +187,10 @@
 {
     const auto now = clock::now();
     const bool first = !std::exchange(answered_, true);
-    if (rate_.on_answer(wire_.read_notice(answer), sent_at, now))
+    const auto notice = wire_.read_notice(answer);
+    if (notice.leaving)
+        handle_server_change(tracker_.on_leaving_notice(), "answer");
+    if (rate_.on_answer(notice, sent_at, now))
         apply_rate("answer");
     if (first && tracker_.server())
         set_slots(tracker_.server()->slots);
--- a/src/gateway/server_tracker.cpp
+++ b/src/gateway/server_tracker.cpp
@@ -168,6 +168,14 @@
     return server_change::recovered;
 }
 
+server_change server_tracker::on_leaving_notice()
+{
+    if (!server_ || is_leaving(server_->state))
+        return server_change::none;
+    server_->state = server_state::draining;
+    return server_change::leaving;
+}
+
 server_change server_tracker::on_answer()
 {
     if (!suspected_)
--- a/src/gateway/server_tracker_test.cpp
+++ b/src/gateway/server_tracker_test.cpp
@@ -60,6 +60,20 @@
     cr_expect(!tracker.accepts());
 }
 
+// Guards against a server that states in its answers that it leaves and that a later
+// heartbeat of the same start brings back.
+Test(server_tracker, keeps_a_server_out_that_stated_its_leaving)
+{
+    server_tracker tracker(tills, heartbeat_interval);
+    tracker.on_heartbeat(make_heartbeat("a", 10, 1), start);
+    cr_expect(tracker.on_leaving_notice() == server_change::leaving);
+    cr_expect(tracker.on_leaving_notice() == server_change::none);
+    tracker.on_heartbeat(make_heartbeat("a", 10, 2), start);
+    cr_expect(!tracker.accepts());
+    tracker.on_heartbeat(make_heartbeat("b", 20, 1), start);
+    cr_expect(tracker.accepts());
+}
+
 // An earlier start at the same address may still deliver heartbeats and departures. They
 // must not replace or end the latest start.
 Test(server_tracker, accepts_only_the_latest_start)
--- a/src/include/fescueridge/gateway/server_tracker.hpp
+++ b/src/include/fescueridge/gateway/server_tracker.hpp
@@ -57,6 +57,9 @@
     server_change on_health_check_passed(const instance_id& id, slot_count assumed_slots,
                                          time_point now);
 
+    /// Records that the server has stated in an answer that it leaves.
+    server_change on_leaving_notice();
+
     /// Records an answer to a request.
     server_change on_answer();
 
--- a/src/include/fescueridge/gateway/wire_format.hpp
+++ b/src/include/fescueridge/gateway/wire_format.hpp
@@ -34,6 +34,7 @@
 {
     std::optional<call_rate> max_rate; ///< Accepted requests per second of all nodes.
     bool max_rate_unusable = false; ///< A rate is stated that is not a positive number.
+    bool leaving = false;           ///< The server will end and takes no new requests.
 };
 
 /// Reason for which the gateway rejects a request.
