Confirm a stated rate by a health check when answers cease

Cause: a belief that nothing confirms. Change: after 1.5 s without an answer while a limit is in force, the node sends a health check; its answer counts. Measured: the check 'a rate without answers ends' of platform/testsuite/gateway failed before and passes.

--- a/src/gateway/run_executor.cpp
+++ b/src/gateway/run_executor.cpp
@@ -393,7 +393,10 @@
     if (queue_.running() > 0 && tracker_.accepts() && silent_for > max_silence)
         handle_server_change(tracker_.on_no_answer(), "no_answers");
     const bool server_unknown = !tracker_.server();
-    if ((server_unknown || tracker_.suspected()) && now >= next_health_check_)
+    const bool rate_unconfirmed =
+        rate_.rate() && now - last_answer_ > freshness::max_rate_unconfirmed;
+    if ((server_unknown || tracker_.suspected() || rate_unconfirmed) &&
+        now >= next_health_check_)
         send_health_check();
 }
 
--- a/src/include/fescueridge/gateway/freshness.hpp
+++ b/src/include/fescueridge/gateway/freshness.hpp
@@ -11,15 +11,14 @@
 /// - The configuration is the newest one. Confirmed by an answer of the log, or by a peer
 ///   whose own one is confirmed and not newer; else the node probes the log beside the
 ///   waiting read.
-/// - The list of nodes is complete. Confirmed by an answer of the log to the waiting
-/// read;
+/// - The list of nodes is complete. Confirmed by an answer of the log to a waiting read;
 ///   else the read is repeated on a new connection.
 /// - A link works. Confirmed by any bytes from the peer; else no new requests go out on
 ///   it, then it is closed and dialled again.
 /// - A peer's report is current. Confirmed by the next report; else its demand and its
 ///   server no longer count.
-/// - The own server states a rate limit. Confirmed by every answer; an answer to a later
-///   request without a limit ends it.
+/// - The own server states a rate limit. Confirmed by every answer; without answers, a
+///   health check asks for one.
 /// - The own server is alive. Confirmed by a heartbeat and, while requests run, by an
 ///   answer; else it must pass a health check before it gets more requests.
 ///
@@ -60,6 +59,10 @@
 /// Reports older than this are ignored.
 constexpr milliseconds max_report_age{1'500};
 
+/// A rate limit that the server has not stated for longer is confirmed by a health check:
+/// a server with a low limit may get no requests whose answers would end it.
+constexpr milliseconds max_rate_unconfirmed{1'500};
+
 /// Number of missing heartbeats after which a server is suspected.
 constexpr int max_missing_heartbeats = 4;
 
