Keep the rate that the first health check of a process states

The answer is read after the server is known now, and only if it is that server's. Checked by reading and by the existing cases; there is no test of its own.

--- a/src/gateway/run_executor.cpp
+++ b/src/gateway/run_executor.cpp
@@ -423,12 +423,13 @@
                 return;
             const auto now = clock::now();
             last_answer_ = now;
-            on_notice(*answer, sent_at);
             const bool server_unknown = !tracker_.server();
             const auto change = tracker_.on_health_check_passed(*id, assumed_slots, now);
             if (server_unknown && tracker_.server())
                 set_slots(tracker_.server()->slots);
             select_server();
+            if (tracker_.server() && tracker_.server()->id == *id)
+                on_notice(*answer, sent_at);
             handle_server_change(change, "health_check");
         });
 }
