End answers whose bytes never end

What callers saw, had it happened: a node killed for its memory, or requests held to their deadline while reading took all processor time. A server in trouble may send bytes that are no answer without end, in a head or a body. Heads were bounded; bodies by 16 MiB each, 40 of which exceed the memory of a VM; interim answers, extensions of chunks, empty lines and answers of other requests not at all.

--- a/src/gateway/run_executor.cpp
+++ b/src/gateway/run_executor.cpp
@@ -35,6 +35,9 @@
 constexpr milliseconds health_check_interval{300};
 constexpr milliseconds health_check_timeout{500};
 
+/// Bytes of incomplete answers of the server, on all connections together.
+constexpr std::size_t max_buffered_answers = std::size_t{32} * 1024 * 1024;
+
 /// Idle timeout of connections to a server that does not state one.
 constexpr milliseconds default_idle_timeout{4'000};
 
@@ -43,6 +46,7 @@
     http_client_options options;
     options.answers_until_end = true;
     options.idle_timeout = default_idle_timeout;
+    options.max_buffered_bytes = max_buffered_answers;
     return options;
 }
 
--- a/src/include/fescueridge/transport/http_client_pool.hpp
+++ b/src/include/fescueridge/transport/http_client_pool.hpp
@@ -91,6 +91,11 @@
     /// Closes all idle connections when a request that was sent times out: they may have
     /// fallen silent together. For peers that answer every request within its timeout.
     bool close_idle_after_timeout = false;
+
+    /// Bytes of incomplete answers that all connections may hold together; 0 for no
+    /// limit. Above it, an answer that holds more than an equal share of its connection
+    /// fails as too large when it grows.
+    std::size_t max_buffered_bytes = 0;
 };
 
 /// Tells whether an answer belongs to the request that waits on its connection. One that
--- a/src/transport/client_connection.cpp
+++ b/src/transport/client_connection.cpp
@@ -21,6 +21,11 @@
 
 constexpr std::size_t read_size = std::size_t{64} * 1024;
 
+/// Bytes beyond the body of the answer that a call may receive, and their ratio to the
+/// body: header block, framing of chunks, interim answers and answers of other requests.
+constexpr std::size_t max_overhead_bytes = std::size_t{1024} * 1024;
+constexpr std::size_t max_overhead_ratio = 8;
+
 /// Shortest time for which an idle connection is kept, whatever its peer states.
 constexpr milliseconds least_idle_time{200};
 
@@ -130,6 +135,7 @@
     idle_timer_.cancel();
     call_ = call;
     writing_ = call;
+    received_bytes_ = 0;
     parser_.reset(call->head_);
     asio::async_write(socket_, asio::buffer(call->bytes_),
                       [self = shared_from_this()](asio::error_code ec, std::size_t size)
@@ -176,9 +182,25 @@
         return on_end();
     if (ec)
         return fail(http_failure_kind::cut, true, ec.message());
+    received_bytes_ += size;
     on_answer_bytes(buffer.data(), size);
 }
 
+// A faulty server may send bytes without end that complete no answer.
+bool client_connection::is_answer_bounded(std::size_t size)
+{
+    const auto overhead_bytes = received_bytes_ - std::min(received_bytes_, size);
+    if (overhead_bytes > max_overhead_bytes + max_overhead_ratio * size)
+        return false;
+    const auto before = std::exchange(buffered_bytes_, size);
+    return owner_->buffered(before, size);
+}
+
+void client_connection::release_buffered()
+{
+    owner_->buffered(std::exchange(buffered_bytes_, 0), 0);
+}
+
 void client_connection::on_end()
 {
     const bool whole = parser_.finish() == parse_status::complete;
@@ -191,6 +213,8 @@
 {
     std::size_t used = 0;
     auto status = parser_.feed(data, size, used);
+    if (status == parse_status::need_more && !is_answer_bounded(parser_.body_bytes()))
+        return fail(http_failure_kind::too_large, true, "bytes without an answer");
     if (status == parse_status::need_more)
         return read();
     if (status != parse_status::complete)
@@ -207,6 +231,8 @@
 void client_connection::skip_answer(const char* rest, std::size_t size)
 {
     parser_.reset(call_->head_);
+    if (!is_answer_bounded(0))
+        return fail(http_failure_kind::too_large, true, "bytes without an answer");
     if (size == 0)
         return read();
     on_answer_bytes(rest, size);
@@ -222,6 +248,7 @@
                         "answer belongs to another request");
         return skip_answer(rest, size);
     }
+    release_buffered();
     const auto call = std::exchange(call_, nullptr);
     note_idle_timeout(response);
     if (reusable)
@@ -319,6 +346,7 @@
 {
     if (std::exchange(closed_, true))
         return;
+    release_buffered();
     open_timer_.cancel();
     idle_timer_.cancel();
     asio::error_code ec;
--- a/src/transport/client_connection.hpp
+++ b/src/transport/client_connection.hpp
@@ -73,6 +73,10 @@
     /// The connection is closed.
     virtual void closed(const std::shared_ptr<client_connection>& connection) = 0;
 
+    /// The bytes of incomplete answers held by a connection have changed from `before` to
+    /// `now`. Returns false when the connection holds too many.
+    virtual bool buffered(std::size_t before, std::size_t now) = 0;
+
     /// The connection was found closed before anything of the call was written.
     virtual void give_back(const call_ptr& call) = 0;
 };
@@ -97,6 +101,8 @@
     void on_readable(asio::error_code ec);
     void on_written(asio::error_code ec, std::size_t size);
     void on_answer_bytes(const char* data, std::size_t size);
+    bool is_answer_bounded(std::size_t size);
+    void release_buffered();
     void on_answer(bool reusable, const char* rest = nullptr, std::size_t size = 0);
     void on_end();
     void skip_answer(const char* rest, std::size_t size);
@@ -115,6 +121,8 @@
     message_parser parser_;
     call_ptr call_;
     call_ptr writing_;
+    std::size_t received_bytes_ = 0; ///< Since the call was started.
+    std::size_t buffered_bytes_ = 0; ///< Reported to the owner.
     bool reading_ = false;
     bool idle_after_write_ = false;
     bool connected_ = false;
--- a/src/transport/http_client_pool.cpp
+++ b/src/transport/http_client_pool.cpp
@@ -55,6 +55,7 @@
     void failed_to_open(const std::shared_ptr<client_connection>& connection,
                         const std::string& reason) override;
     void closed(const std::shared_ptr<client_connection>& connection) override;
+    bool buffered(std::size_t before, std::size_t now) override;
     void give_back(const call_ptr& call) override;
 
 private:
@@ -72,6 +73,7 @@
     mutable std::mutex mutex_;
     std::size_t limit_;
     std::uint64_t opened_ = 0;
+    std::size_t buffered_bytes_ = 0; ///< Of incomplete answers on all connections.
     bool closed_ = false;
     std::set<std::shared_ptr<client_connection>> all_;
     std::set<std::shared_ptr<client_connection>> opening_;
@@ -250,6 +252,15 @@
     carry_out(todo);
 }
 
+bool http_client_pool_impl::buffered(std::size_t before, std::size_t now)
+{
+    const std::lock_guard lock(mutex_);
+    buffered_bytes_ += now - before;
+    const auto most = options_.max_buffered_bytes;
+    return most == 0 || buffered_bytes_ <= most ||
+           now <= most / std::max<std::size_t>(1, limit_);
+}
+
 void http_client_pool_impl::give_back(const call_ptr& call)
 {
     work todo;
--- a/src/transport/http_client_pool_test.cpp
+++ b/src/transport/http_client_pool_test.cpp
@@ -96,6 +96,85 @@
               http_failure_kind::too_large);
 }
 
+// Guards against a server that sends bytes without end which never become an answer: the
+// request waited until its deadline, and reading took all processor time.
+Test(http_client_pool, fails_answers_that_never_begin_or_end, .timeout = 60)
+{
+    constexpr std::size_t max_bytes = std::size_t{64} * 1024 * 1024;
+    const std::string ok = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string other = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
+    const std::vector<std::pair<std::string, std::string>> streams = {
+        {"", "\r\n"},
+        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {ok + "1;", std::string(100, 'a')},
+        {"", other},
+    };
+    for (const auto& [first, endless] : streams)
+    {
+        io_threads threads;
+        raw_listener listener;
+        http_client_pool pool(threads.io, listener.bound(), connection_count(1));
+        std::promise<http_result> promise;
+        pool.send(
+            get, 20'000ms,
+            [&](http_result result) { promise.set_value(std::move(result)); },
+            [](const http_response&) { return false; });
+        raw_peer peer(listener.acceptor);
+        peer.read_until("\r\n\r\n");
+        std::string piece;
+        while (piece.size() < 16'384)
+            piece += endless;
+        peer.try_send(first);
+        const auto sent = peer.send_until_closed(piece, max_bytes);
+        peer.close();
+        cr_expect_lt(sent, max_bytes, "read without end: %s", endless.c_str());
+        cr_expect(failure(promise.get_future()).kind == http_failure_kind::too_large,
+                  "%s", endless.c_str());
+    }
+}
+
+// Guards against bodies without end on many connections that fill the memory together,
+// each below the limit of one answer.
+Test(http_client_pool, bounds_the_memory_of_all_answers, .timeout = 60)
+{
+    constexpr std::size_t max_buffered = std::size_t{4} * 1024 * 1024;
+    constexpr std::size_t socket_buffers = std::size_t{8} * 1024 * 1024;
+    constexpr std::size_t connections = 8;
+    io_threads threads;
+    raw_listener listener;
+    http_client_options options;
+    options.answers_until_end = true;
+    options.max_buffered_bytes = max_buffered;
+    http_client_pool pool(threads.io, listener.bound(), connection_count(connections),
+                          options);
+    std::vector<std::future<http_result>> results;
+    std::vector<std::thread> servers;
+    std::atomic<std::size_t> sent{0};
+    for (std::size_t i = 0; i < connections; ++i)
+    {
+        results.push_back(send(pool, get, 20'000ms));
+        servers.emplace_back(
+            [&, peer = std::make_shared<raw_peer>(listener.acceptor)]
+            {
+                peer->read_until("\r\n\r\n");
+                peer->try_send("HTTP/1.1 200 OK\r\n\r\n");
+                sent += peer->send_until_closed(std::string(16'384, 'x'),
+                                                std::size_t{32} * 1024 * 1024);
+                peer->close();
+            });
+    }
+    for (auto& result : results)
+        cr_expect(failure(std::move(result)).kind == http_failure_kind::too_large);
+    for (auto& server : servers)
+        server.join();
+    cr_expect_lt(sent, 2 * max_buffered + connections * socket_buffers);
+    auto after = send(pool);
+    raw_peer peer(listener.acceptor);
+    peer.read_until("\r\n\r\n");
+    peer.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    cr_expect_str_eq(body(std::move(after)).c_str(), "ok");
+}
+
 // Guards against an answer to a request that was given up reaching the next request.
 Test(http_client_pool, drops_late_answers)
 {
--- a/src/transport/http_message.hpp
+++ b/src/transport/http_message.hpp
@@ -51,6 +51,9 @@
     /// length and is a cut for everything else.
     parse_status finish();
 
+    /// Returns the bytes of the body that were read so far.
+    std::size_t body_bytes() const noexcept { return body_.size(); }
+
     /// Tells whether any byte of the current message was read.
     bool started() const noexcept { return started_; }
 
--- a/src/transport/test_support.hpp
+++ b/src/transport/test_support.hpp
@@ -74,6 +74,17 @@
         asio::write(socket_, asio::buffer(bytes), ec);
     }
 
+    /// Sends the bytes again and again until the peer closes or the maximum is reached;
+    /// returns the number of bytes sent.
+    std::size_t send_until_closed(const std::string& bytes, std::size_t max_bytes)
+    {
+        std::size_t sent = 0;
+        asio::error_code ec;
+        while (!ec && sent < max_bytes)
+            sent += asio::write(socket_, asio::buffer(bytes), ec);
+        return sent;
+    }
+
     /// Reads until the text has come or the connection ends; returns everything read.
     std::string read_until(const std::string& text)
     {
