Skip odd entries of other writers one by one

What could be seen: a node that lists a topic again and again without ever following it, and dials addresses that are none, because another writer left one odd entry (a report of other operators). One item of a listing that could not be read failed the whole page; has_more of another type would have ended the process; an entry of our nodes' topic with an address that is none was dialled for good and told to all peers; the stored calls were read from the first record, whoever wrote it. Change: each such entry is skipped, counted (records_skipped_total) and logged (records_unreadable); all others are followed.

A number too large for the JSON of the listing itself is not covered: the log writes that part.

--- a/src/gateway/cluster_records.cpp
+++ b/src/gateway/cluster_records.cpp
@@ -92,15 +92,21 @@
                          const auto* page = std::get_if<newest_page>(&result);
                          // Without a stored record the calls are estimated again within a
                          // few seconds.
-                         if (!page || page->records.empty())
+                         if (!page)
                              return;
-                         const auto report = read_record<node_report_message>(
-                             settings_.learned_topic, page->records.front());
-                         if (report)
-                             callbacks_.on_call_edges(report->calls);
+                         for (const auto& record : page->records)
+                             if (record.key == call_edges_key)
+                                 on_call_edges_record(record);
                      });
 }
 
+void cluster_records::on_call_edges_record(const keyed_record& record)
+{
+    const auto report = read_record<node_report_message>(settings_.learned_topic, record);
+    if (report)
+        callbacks_.on_call_edges(report->calls);
+}
+
 void cluster_records::write_call_edges(const std::vector<call_edge>& calls)
 {
     node_report_message report;
@@ -122,7 +128,35 @@
     if (!known)
         return;
     for (const auto& node : known->nodes)
-        callbacks_.on_node(node);
+        if (is_usable(record, node))
+            callbacks_.on_node(node);
+}
+
+// Links to a record with an odd address would fail again and again, on every node that is
+// told of it.
+bool cluster_records::is_usable(const keyed_record& record, const node_record& node)
+{
+    try
+    {
+        parse_endpoint(to_string(node.link));
+    }
+    catch (const address_error& error)
+    {
+        skip(settings_.nodes_topic, record, error.what());
+        return false;
+    }
+    if (node.node.get() == record.key)
+        return true;
+    skip(settings_.nodes_topic, record, "record names another node than its key");
+    return false;
+}
+
+void cluster_records::skip(const topic_name& topic, const keyed_record& record,
+                           const std::string& detail)
+{
+    ++skipped_;
+    decisions_.record(log_event::records_unreadable,
+                      {{"topic", topic.get()}, {"key", record.key}, {"detail", detail}});
 }
 
 template <class Message>
@@ -134,12 +168,11 @@
         auto frame = decode_frame(record.value);
         if (auto* message = std::get_if<Message>(&frame.message))
             return std::move(*message);
+        skip(topic, record, "record holds another message");
     }
     catch (const codec_error& error)
     {
-        decisions_.record(
-            log_event::records_unreadable,
-            {{"topic", topic.get()}, {"key", record.key}, {"detail", error.what()}});
+        skip(topic, record, error.what());
     }
     return std::nullopt;
 }
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -326,7 +326,8 @@
             {200,
              {{"Content-Type", "text/plain; version=0.0.4"}},
              metrics_text(router_, executor_, peers_, decisions_, table_.get(),
-                          config_follower_->unconfirmed_for())});
+                          log_status{config_follower_->unconfirmed_for(),
+                                     config_follower_->skipped() + records_.skipped()})});
     const bool ready = table_ && !stopping_since_;
     exchange.respond({ready ? 200 : 503,
                       {{"Content-Type", "text/plain"}},
--- a/src/gateway/metrics_text.cpp
+++ b/src/gateway/metrics_text.cpp
@@ -103,7 +103,7 @@
 
 std::string metrics_text(const request_router& router, const run_executor& executor,
                          const peers& node_peers, const decision_log& decisions,
-                         const route_table* table, milliseconds config_unconfirmed_for)
+                         const route_table* table, const log_status& log)
 {
     text_writer out;
     add_router(out, router);
@@ -111,7 +111,8 @@
     out.add("peers_known", "", node_peers.all().size());
     out.add("peers_linked", "", node_peers.linked_count());
     out.add("config_version", "", table ? table->config().version.get() : 0);
-    out.add("config_unconfirmed_seconds", "", in_seconds(config_unconfirmed_for));
+    out.add("config_unconfirmed_seconds", "", in_seconds(log.config_unconfirmed_for));
+    out.add("records_skipped_total", "", log.records_skipped);
     out.add("log_lines_left_out_total", "", decisions.dropped_lines());
     return out.take();
 }
--- a/src/gateway/metrics_text.hpp
+++ b/src/gateway/metrics_text.hpp
@@ -7,11 +7,17 @@
 namespace fescueridge::gateway
 {
 
+/// What a node knows of the platform's log.
+struct log_status
+{
+    milliseconds config_unconfirmed_for{0}; ///< Time since the last confirmation.
+    std::uint64_t records_skipped = 0;      ///< Unreadable records of all topics.
+};
+
 /// Returns the counters, gauges and latency histograms of a node in the Prometheus text
-/// format. `table` is null while the node has no routing configuration;
-/// `config_unconfirmed_for` is the time since the log last answered a read of it.
+/// format. `table` is null while the node has no routing configuration.
 std::string metrics_text(const request_router& router, const run_executor& executor,
                          const peers& node_peers, const decision_log& decisions,
-                         const route_table* table, milliseconds config_unconfirmed_for);
+                         const route_table* table, const log_status& log);
 
 } // namespace fescueridge::gateway
--- a/src/gateway/topic_follower.cpp
+++ b/src/gateway/topic_follower.cpp
@@ -69,6 +69,7 @@
     on_success();
     if (list_after_key_.empty())
         next_offset_ = page.end;
+    skip(page.unreadable);
     for (const auto& record : page.records)
         callbacks_.on_record(record);
     if (stopped_)
@@ -93,13 +94,20 @@
               });
 }
 
+void topic_follower::skip(std::size_t unreadable)
+{
+    if (unreadable == 0)
+        return;
+    skipped_ += unreadable;
+    decisions_.record(
+        log_event::records_unreadable,
+        {{"topic", topic_.get()}, {"records", static_cast<std::int64_t>(unreadable)}});
+}
+
 void topic_follower::deliver(const record_batch& batch)
 {
     next_offset_ = std::max(next_offset_, batch.next);
-    if (batch.unreadable > 0)
-        decisions_.record(log_event::records_unreadable,
-                          {{"topic", topic_.get()},
-                           {"records", static_cast<std::int64_t>(batch.unreadable)}});
+    skip(batch.unreadable);
     for (const auto& record : batch.records)
         callbacks_.on_record(record);
 }
--- a/src/include/fescueridge/gateway/cluster_records.hpp
+++ b/src/include/fescueridge/gateway/cluster_records.hpp
@@ -44,11 +44,19 @@
     /// Stops following the records.
     void stop();
 
+    /// Returns the number of records that were skipped because they could not be read or
+    /// hold no usable content.
+    std::uint64_t skipped() const { return skipped_ + nodes_->skipped(); }
+
 private:
     void publish_node_record();
     void schedule_publish();
     void read_call_edges();
+    void on_call_edges_record(const keyed_record& record);
     void on_node_record(const keyed_record& record);
+    bool is_usable(const keyed_record& record, const node_record& node);
+    void skip(const topic_name& topic, const keyed_record& record,
+              const std::string& detail);
     void log_append_failure(const topic_name& topic, const log_failure& failure);
 
     /// Decodes a record. Returns null when it holds no such message; a decoding error is
@@ -65,6 +73,7 @@
     asio::steady_timer publish_timer_;
     std::shared_ptr<topic_follower> nodes_;
     bool withdrawn_ = false;
+    std::uint64_t skipped_ = 0;
 };
 
 } // namespace fescueridge::gateway
--- a/src/include/fescueridge/gateway/keyed_log.hpp
+++ b/src/include/fescueridge/gateway/keyed_log.hpp
@@ -27,6 +27,7 @@
 struct newest_page
 {
     std::vector<keyed_record> records;
+    std::size_t unreadable = 0; ///< Skipped records, corrupted by another writer.
     bool has_more = false; ///< Further pages follow, after the key of the last record.
     log_offset end;        ///< Offset of the next record to be appended to the topic.
 };
--- a/src/include/fescueridge/gateway/topic_follower.hpp
+++ b/src/include/fescueridge/gateway/topic_follower.hpp
@@ -56,6 +56,9 @@
     /// Records that another node knows no newer record than this one, confirmed at `at`.
     void confirm(time_point at) { confirmed_at_ = std::max(confirmed_at_, at); }
 
+    /// Returns the number of records that were skipped because they could not be read.
+    std::uint64_t skipped() const noexcept { return skipped_; }
+
 private:
     void list_keys(const std::string& after);
     void read_records();
@@ -64,6 +67,7 @@
     void on_failure(const log_failure& failure, bool listing);
     void log_failure_once(const log_failure& failure);
     void on_success();
+    void skip(std::size_t unreadable);
     void deliver(const record_batch& batch);
     void schedule_probe(milliseconds delay);
     void probe();
@@ -90,6 +94,7 @@
     milliseconds probe_timeout_{0}; ///< Doubles with each probe that times out.
     random_engine random_;
     bool log_lost_ = false;
+    std::uint64_t skipped_ = 0;
     bool stopped_ = false;
     std::string list_after_key_;
 };
