Let few nodes of a large fleet probe the log first

The delays are now drawn from a truncated exponential distribution, so that few fall early whatever the size of the fleet; the longest delay, and with it the bound, stays. gateway_test passes.

--- a/src/gateway/topic_follower.cpp
+++ b/src/gateway/topic_follower.cpp
@@ -1,6 +1,7 @@
 #include "fescueridge/gateway/topic_follower.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace fescueridge::gateway
 {
@@ -9,10 +10,14 @@
 
 constexpr milliseconds list_timeout{1'000};
 
-/// Shortest delay of a probe, as a fraction of the longest. With random delays one node
-/// probes first, and its report confirms the topic for its peers.
+/// Shortest delay of a probe, as a fraction of the longest.
 constexpr double min_probe_delay_fraction = 0.5;
 
+/// Rate of the exponential distribution of probe delays, over the range of delays. In a
+/// fleet of up to some thousand nodes a few probe first, and their reports confirm the
+/// topic for the others in time.
+constexpr double probe_delay_skew = 8;
+
 /// Range of the exponential backoff after failures. The first pause is short, because a
 /// single lost answer is the most common failure.
 constexpr milliseconds min_retry_pause{100};
@@ -190,9 +195,13 @@
 
 milliseconds topic_follower::next_probe_delay()
 {
-    std::uniform_real_distribution<double> fraction(min_probe_delay_fraction, 1);
+    std::uniform_real_distribution<double> uniform(0, 1);
+    const double position =
+        std::log1p(uniform(random_) * std::expm1(probe_delay_skew)) / probe_delay_skew;
+    const double fraction =
+        min_probe_delay_fraction + (1 - min_probe_delay_fraction) * position;
     return milliseconds(static_cast<std::int64_t>(
-        fraction(random_) * static_cast<double>(probes_->interval.count())));
+        fraction * static_cast<double>(probes_->interval.count())));
 }
 
 void topic_follower::schedule_probe(milliseconds delay)
