Count a log probe as confirmed from its sending

Callers could be served by an older configuration for longer than its bound: a probe of the log counted from its answer, so an answer held up on its way (0.4 s, and up to 5 s once the timeout has doubled) made the configuration look confirmed for that long, and the node told its peers the short age.

A probe now confirms up to the moment at which it was sent.

topic_follower::counts_a_confirmation_from_the_sending_of_its_probe failed before (age under 300 ms after an answer that took 300 ms) and passes now; the unit tests of gateway pass.

--- a/src/gateway/topic_follower.cpp
+++ b/src/gateway/topic_follower.cpp
@@ -71,7 +71,7 @@
 
 void topic_follower::on_page(const newest_page& page)
 {
-    on_success();
+    on_success(clock::now());
     if (list_after_key_.empty())
         next_offset_ = page.end;
     skip(page.unreadable);
@@ -119,7 +119,7 @@
 
 void topic_follower::on_batch(const record_batch& batch)
 {
-    on_success();
+    on_success(clock::now());
     deliver(batch);
     if (stopped_)
         return;
@@ -131,10 +131,10 @@
     next_read_delay_ = std::min(2 * next_read_delay_, read_delay_.longest);
 }
 
-void topic_follower::on_success()
+void topic_follower::on_success(time_point complete_at)
 {
     retry_pause_ = milliseconds{0};
-    confirmed_at_ = clock::now();
+    confirm(complete_at);
     if (std::exchange(log_lost_, false))
         decisions_.record(log_event::log_regained, {{"topic", topic_.get()}});
 }
@@ -227,11 +227,12 @@
     if (retry_scheduled_)
         return schedule_probe(next_probe_delay());
     log_.read(topic_, next_offset_, milliseconds{0}, probe_timeout_,
-              [weak = weak_from_this()](const log_result<record_batch>& result)
+              [weak = weak_from_this(),
+               sent_at = clock::now()](const log_result<record_batch>& result)
               {
                   const auto self = weak.lock();
                   if (self && !self->stopped_)
-                      self->on_probe(result);
+                      self->on_probe(result, sent_at);
               });
 }
 
@@ -243,7 +244,7 @@
 }
 
 // The waiting read is replaced when the probe shows that it has missed records.
-void topic_follower::on_probe(const log_result<record_batch>& result)
+void topic_follower::on_probe(const log_result<record_batch>& result, time_point sent_at)
 {
     schedule_probe(next_probe_delay());
     if (const auto* failure = std::get_if<log_failure>(&result))
@@ -256,7 +257,8 @@
         abandon_waiting_read();
         return list_keys({});
     }
-    on_success();
+    // The answer may have been on its way since the log received the probe.
+    on_success(sent_at);
     probe_timeout_ = probes_->timeout;
     const auto& batch = std::get<record_batch>(result);
     const bool read_missed_records = batch.next > next_offset_;
--- a/src/gateway/topic_follower_test.cpp
+++ b/src/gateway/topic_follower_test.cpp
@@ -1,6 +1,8 @@
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
 #include <criterion/criterion.h>
+#include <memory>
+#include <optional>
 
 #include "fescueridge/gateway/topic_follower.hpp"
 
@@ -107,8 +109,68 @@
     bool silent_ = true;
 };
 
+/// Log that answers each read without wait `delay` after it was sent. Waiting reads get
+/// no answer.
+class slow_log : public keyed_log
+{
+public:
+    slow_log(asio::io_context& io, milliseconds delay) : io_(io), delay_(delay) {}
+
+    void list_newest(const topic_name&, const std::string&, milliseconds,
+                     std::function<void(log_result<newest_page>)> done) override
+    {
+        asio::post(io_, [done] { done(newest_page{}); });
+    }
+
+    void read(const topic_name&, log_offset, milliseconds wait, milliseconds,
+              std::function<void(log_result<record_batch>)> done) override
+    {
+        if (wait > milliseconds{0})
+            return;
+        auto timer = std::make_shared<asio::steady_timer>(io_, delay_);
+        timer->async_wait([timer, done](asio::error_code) { done(record_batch{}); });
+    }
+
+    void append(const topic_name&, const keyed_record&, milliseconds,
+                std::function<void(log_result<append_receipt>)>) override
+    {
+    }
+
+private:
+    asio::io_context& io_;
+    milliseconds delay_;
+};
+
 } // namespace
 
+// An answer that was held up on its way proves nothing about the time since the probe was
+// sent. A node that counted from the answer could tell its peers too short an age.
+Test(topic_follower, counts_a_confirmation_from_the_sending_of_its_probe)
+{
+    constexpr milliseconds answer_delay{300};
+    asio::io_context io;
+    slow_log log(io, answer_delay);
+    decision_log decisions(io, node_id("vm-1"));
+    std::optional<milliseconds> age;
+    std::shared_ptr<topic_follower> follower;
+    topic_callbacks callbacks;
+    callbacks.on_record = [](const keyed_record&) {
+    };
+    callbacks.on_probe_answered = [&]
+    {
+        age = follower->unconfirmed_for();
+        io.stop();
+    };
+    follower = std::make_shared<topic_follower>(
+        io, log, decisions, topic_name("op"), std::move(callbacks), read_delay{},
+        freshness::probe_timing::for_config(milliseconds{2'000}));
+    follower->start();
+    io.run_for(std::chrono::milliseconds(3'000));
+    follower->stop();
+    cr_assert(age.has_value());
+    cr_expect_geq(age->count(), answer_delay.count());
+}
+
 // Guards against a configuration that is not seen while the read waits on a silent
 // connection: reads were given up after 21 s only.
 Test(topic_follower, notices_a_silent_read_within_the_bound)
--- a/src/include/fescueridge/gateway/topic_follower.hpp
+++ b/src/include/fescueridge/gateway/topic_follower.hpp
@@ -66,12 +66,12 @@
     void on_batch(const record_batch& batch);
     void on_failure(const log_failure& failure, bool listing);
     void log_failure_once(const log_failure& failure);
-    void on_success();
+    void on_success(time_point complete_at);
     void skip(std::size_t unreadable);
     void deliver(const record_batch& batch);
     void schedule_probe(milliseconds delay);
     void probe();
-    void on_probe(const log_result<record_batch>& result);
+    void on_probe(const log_result<record_batch>& result, time_point sent_at);
     milliseconds next_probe_delay();
     void abandon_waiting_read();
     void schedule_retry(const std::function<void()>& next);
