Test answers that are cut within their header block

Operators of similar systems reported clients that got a whole 200 with a short body after a server had closed in the middle of its header block. The connections to backend servers take answers without a length until their end, so it had to be looked at: the parser reports an invalid end for every prefix of a header block, and the call fails as cut.

The new test plays every prefix with that option. It passes on the code as it was: the fault can't happen here.

--- a/src/transport/http_client_pool_test.cpp
+++ b/src/transport/http_client_pool_test.cpp
@@ -46,11 +46,11 @@
 }
 
 /// Sends one request to a scripted server that gives `answer` and closes.
-http_failure failure_after(const std::string& answer)
+http_failure failure_after(const std::string& answer, http_client_options options = {})
 {
     io_threads threads;
     raw_listener listener;
-    http_client_pool pool(threads.io, listener.bound(), connection_count(1));
+    http_client_pool pool(threads.io, listener.bound(), connection_count(1), options);
     auto result = send(pool);
     raw_peer peer(listener.acceptor);
     peer.read_until("\r\n\r\n");
@@ -77,6 +77,21 @@
     }
 }
 
+// A server that stops in the middle of its header block and closes must not look like one
+// whose body ends with the connection.
+Test(http_client_pool, fails_answers_cut_within_the_header_block, .timeout = 60)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nServer-Stamp: 3e1b.07\r\n"
+                             "Content-Length: 12\r\nConnection: close\r\n\r\n";
+    http_client_options options;
+    options.answers_until_end = true;
+    for (std::size_t size = 0; size < head.size(); ++size)
+    {
+        const auto seen = failure_after(head.substr(0, size), options);
+        cr_expect(seen.kind == http_failure_kind::cut, "%zu bytes", size);
+    }
+}
+
 // Guards against answers whose end cannot be told from a cut, and against garbage.
 Test(http_client_pool, fails_malformed_answers)
 {
