Count calls whose timeouts their callers vary

The nodes took a run of one route to make 0.19 to 0.45 calls of the deepest service; it makes 4. A call whose timeout was shorter than the longest one seen counted as shortened by its parent, and was left out unless a run ended with it. The ranks that calls inherit from their parents were missing for the same calls.

A short call without a matching run is distributed like any other. Where many short calls match no run, all are distributed, and matches only weigh the routes against each other, less the matches in a control window 8 to 12 ms later, which are chance.

Result. counts_calls_whose_timeouts_vary failed before (1 of 4 calls) and passes; tells_callers_apart_when_timeouts_vary estimates 3.99 calls for a route that makes 4 and 0.08 for one that makes none.

--- a/src/gateway/call_graph.cpp
+++ b/src/gateway/call_graph.cpp
@@ -10,7 +10,7 @@
 
 /// Calls per run assumed for a route without attributed calls, so that every running
 /// route remains a candidate.
-constexpr double min_calls_per_run = 0.02;
+constexpr double min_calls_per_run = 0.005;
 
 /// A call whose timeout is shorter than the longest one seen by more than this was
 /// shortened by the deadline of its parent.
@@ -19,6 +19,15 @@
 /// Maximum difference between the deadlines of such a call and of its parent.
 constexpr milliseconds deadline_tolerance{2};
 
+/// Offset of the control window: runs that end so long after a call match its deadline
+/// only by chance, so they show how many other matches are due to chance.
+constexpr milliseconds control_offset{10};
+
+/// Number of shortened calls to a route, and the fraction of them without a matching run,
+/// from which its callers are taken to vary their timeouts by themselves.
+constexpr double min_shortened_calls = 20;
+constexpr double max_unmatched_fraction = 0.2;
+
 /// Minimum number of completed runs for the call rates of a route to be reported.
 constexpr double min_reported_runs = 10;
 
@@ -31,6 +40,13 @@
 /// Call rates below this are treated as noise and not reported.
 constexpr double min_reported_calls_per_run = 0.01;
 
+/// Returns whether the run ends at this time after the call.
+bool ends_at(const possible_parent& run, milliseconds offset)
+{
+    return run.deadline_offset >= offset - deadline_tolerance &&
+           run.deadline_offset <= offset + deadline_tolerance;
+}
+
 /// Returns the priority with the largest probability; of equals, the most important one.
 std::optional<priority> most_likely_priority(const std::map<priority, double>& by_rank)
 {
@@ -106,11 +122,10 @@
     if (!completed)
         return;
     ++runs_[ended.route];
-    for (const auto& call : ended.calls)
+    for (const auto& [callee, made] : ended.calls)
     {
-        calls_[ended.route][call.callee] += call.probability;
-        if (call.attributed)
-            attributed_calls_[ended.route][call.callee] += call.probability;
+        calls_[ended.route][callee] += made.expected;
+        attributed_calls_[ended.route][callee] += made.evidence;
     }
 }
 
@@ -122,38 +137,94 @@
     if (runs == runs_.end() || calls == attributed_calls_.end())
         return 0;
     const auto count = calls->second.find(to);
-    return count == calls->second.end() ? 0 : count->second / runs->second;
+    return count == calls->second.end() ? 0 : std::max(0.0, count->second / runs->second);
 }
 
 std::optional<priority>
 call_graph_estimator::on_call(const route_name& callee, milliseconds time_left,
                               const std::vector<possible_parent>& running)
 {
-    auto& longest = longest_time_left_[callee];
-    longest = std::max(longest, time_left);
-    const bool shortened = time_left + shortened_margin < longest;
-    std::vector<std::pair<run_number, double>> parent_weights;
-    std::map<priority, double> by_rank;
-    double total = 0;
+    auto& timeouts = timeouts_[callee];
+    timeouts.longest = std::max(timeouts.longest, time_left);
+    const bool shortened = time_left + shortened_margin < timeouts.longest;
+    std::vector<possible_parent> later;
+    std::vector<possible_parent> matching;
+    std::vector<possible_parent> control;
     for (const auto& run : running)
     {
-        const bool ends_with_call = run.deadline_offset <= deadline_tolerance;
-        if (run.deadline_offset < -deadline_tolerance || (shortened && !ends_with_call))
-            continue;
-        const double weight =
-            std::max(min_calls_per_run, attributed_rate(run.route, callee));
-        parent_weights.emplace_back(run.number, weight);
-        by_rank[run.rank] += weight;
-        total += weight;
+        if (run.deadline_offset >= -deadline_tolerance)
+            later.push_back(run);
+        if (ends_at(run, milliseconds{0}))
+            matching.push_back(run);
+        if (ends_at(run, control_offset))
+            control.push_back(run);
     }
-    for (const auto& [number, weight] : parent_weights)
-        if (const auto found = open_.find(number); found != open_.end())
-            found->second.calls.push_back({callee, weight / total, shortened});
-    return most_likely_priority(by_rank);
+    if (!shortened)
+        return distribute(callee, later);
+    timeouts.shortened += 1;
+    timeouts.unmatched += matching.empty() ? 1 : 0;
+    add_evidence(callee, matching, 1);
+    add_evidence(callee, control, -1);
+    if (matching.empty())
+        return distribute(callee, later);
+    if (!timeouts.vary())
+        return distribute(callee, matching);
+    distribute(callee, later);
+    return most_likely_priority(weights_by_rank(callee, matching));
+}
+
+bool call_graph_estimator::callee_timeouts::vary() const
+{
+    return shortened >= min_shortened_calls &&
+           unmatched > max_unmatched_fraction * shortened;
+}
+
+double call_graph_estimator::weight_of(const possible_parent& run,
+                                       const route_name& callee) const
+{
+    return std::max(min_calls_per_run, attributed_rate(run.route, callee));
+}
+
+std::map<priority, double>
+call_graph_estimator::weights_by_rank(const route_name& callee,
+                                      const std::vector<possible_parent>& runs) const
+{
+    std::map<priority, double> by_rank;
+    for (const auto& run : runs)
+        by_rank[run.rank] += weight_of(run, callee);
+    return by_rank;
+}
+
+std::optional<priority>
+call_graph_estimator::distribute(const route_name& callee,
+                                 const std::vector<possible_parent>& candidates)
+{
+    double total = 0;
+    for (const auto& run : candidates)
+        total += weight_of(run, callee);
+    for (const auto& run : candidates)
+        if (const auto found = open_.find(run.number); found != open_.end())
+            found->second.calls[callee].expected += weight_of(run, callee) / total;
+    return most_likely_priority(weights_by_rank(callee, candidates));
+}
+
+void call_graph_estimator::add_evidence(const route_name& callee,
+                                        const std::vector<possible_parent>& runs,
+                                        double sign)
+{
+    const auto share = sign / static_cast<double>(std::max<std::size_t>(1, runs.size()));
+    for (const auto& run : runs)
+        if (const auto found = open_.find(run.number); found != open_.end())
+            found->second.calls[callee].evidence += share;
 }
 
 void call_graph_estimator::decay()
 {
+    for (auto& [callee, timeouts] : timeouts_)
+    {
+        timeouts.shortened *= decay_factor_per_s;
+        timeouts.unmatched *= decay_factor_per_s;
+    }
     for (auto& [route, count] : runs_)
         count *= decay_factor_per_s;
     for (auto* counts : {&calls_, &attributed_calls_})
--- a/src/gateway/call_graph_test.cpp
+++ b/src/gateway/call_graph_test.cpp
@@ -26,23 +26,28 @@
     return 0;
 }
 
-/// Simulates runs of three routes on one server and returns the estimated calls. Pushes
-/// have short timeouts and call tariff twice, syncs have long timeouts and call it once,
-/// and reads make no calls.
-std::vector<call_edge> estimate_mixed_load(double seconds)
+/// A route whose runs call `tariff` at the given ages.
+struct run_kind
+{
+    route_name route;
+    double starts_per_ms;
+    int duration_ms;
+    int timeout_ms;
+    std::vector<int> calls_at;
+};
+
+/// Timeouts that callers choose for calls of `tariff`: up to `variation` below the
+/// longest.
+struct call_timeouts
+{
+    int longest_ms;
+    double variation;
+};
+
+/// Simulates concurrent runs on one server and returns the estimated calls.
+std::vector<call_edge> estimate_load(const std::vector<run_kind>& run_kinds,
+                                     const call_timeouts& timeouts, double seconds)
 {
-    struct run_kind
-    {
-        route_name route;
-        double starts_per_ms;
-        int duration_ms;
-        int timeout_ms;
-        std::vector<int> calls_at;
-    };
-    const std::vector<run_kind> run_kinds{{push, 0.027, 330, 800, {20, 150}},
-                                          {sync, 0.062, 120, 2500, {15}},
-                                          {read, 0.05, 63, 2600, {}}};
-    constexpr int max_call_timeout_ms = 2000;
     struct run
     {
         run_number number;
@@ -68,8 +73,10 @@
             const auto& calls = caller.kind->calls_at;
             if (std::count(calls.begin(), calls.end(), ++caller.age) == 0)
                 continue;
+            const double chosen =
+                timeouts.longest_ms * (1 - timeouts.variation * chance(random));
             const int left =
-                std::min(max_call_timeout_ms, caller.kind->timeout_ms - caller.age);
+                std::min(static_cast<int>(chosen), caller.kind->timeout_ms - caller.age);
             std::vector<possible_parent> running;
             for (const auto& other : runs)
                 running.push_back(
@@ -98,7 +105,10 @@
 // and as 2.7 and 0.4 when weighted by run duration.
 Test(call_graph, attributes_calls_by_deadline)
 {
-    const auto edges = estimate_mixed_load(5);
+    const auto edges = estimate_load({{push, 0.027, 330, 800, {20, 150}},
+                                      {sync, 0.062, 120, 2500, {15}},
+                                      {read, 0.05, 63, 2600, {}}},
+                                     {2000, 0}, 5);
     cr_expect_lt(std::abs(calls_per_run_of(edges, push, tariff) - 2), 0.2, "%f",
                  calls_per_run_of(edges, push, tariff));
     cr_expect_lt(std::abs(calls_per_run_of(edges, sync, tariff) - 1), 0.5, "%f",
@@ -124,6 +134,40 @@
     cr_expect_float_eq(calls_per_run_of(estimator.edges(), push, tariff), 8, 1e-9);
 }
 
+// Where timeouts vary, nearly every call ends with some run by chance. Runs that make no
+// calls must not take over those of the others, or they are refused along with them. The
+// calls of the few runs that are short of time show which route makes them.
+Test(call_graph, tells_callers_apart_when_timeouts_vary)
+{
+    const auto edges = estimate_load({{push, 0.09, 240, 1400, {15, 70, 125, 180}},
+                                      {push, 0.01, 240, 500, {15, 70, 125, 180}},
+                                      {read, 0.01, 260, 2500, {}}},
+                                     {700, 0.15}, 30);
+    cr_expect_float_eq(calls_per_run_of(edges, push, tariff), 4, 0.4, "%f",
+                       calls_per_run_of(edges, push, tariff));
+    cr_expect_lt(calls_per_run_of(edges, read, tariff), 0.4, "%f",
+                 calls_per_run_of(edges, read, tariff));
+}
+
+// Callers may choose a different timeout for each call. Such a call looks as if its
+// parent had shortened it, although no run ends with it; calls that were not counted made
+// a route look cheap.
+Test(call_graph, counts_calls_whose_timeouts_vary)
+{
+    constexpr int calls_per_run = 4;
+    call_graph_estimator estimator;
+    for (std::uint64_t i = 1; i <= 40; ++i)
+    {
+        const possible_parent parent{run_number(i), push, milliseconds{700}, priority(0)};
+        estimator.on_run_started(parent.number, push);
+        for (int n = 0; n < calls_per_run; ++n)
+            estimator.on_call(tariff, milliseconds{680 - 25 * n}, {parent});
+        estimator.on_run_ended(parent.number, true);
+    }
+    cr_expect_float_eq(calls_per_run_of(estimator.edges(), push, tariff), calls_per_run,
+                       1e-9, "%f", calls_per_run_of(estimator.edges(), push, tariff));
+}
+
 // A call queued with the wrong priority delays an important request. It must inherit the
 // priority of the run that has the same deadline.
 Test(call_graph, returns_the_priority_of_the_parent)
--- a/src/include/fescueridge/gateway/call_graph.hpp
+++ b/src/include/fescueridge/gateway/call_graph.hpp
@@ -29,6 +29,10 @@
 /// over the runs with later deadlines, weighted by the call rates of their routes as
 /// measured from attributed calls.
 ///
+/// Where callers vary their timeouts by themselves, many short calls match no run, and
+/// most matches are chance. Then all calls are distributed, and matches only count for
+/// the weights, less those in a control window.
+///
 /// Only completed runs are counted, with all calls that they made. Under overload many
 /// runs end before their last calls, and at the start of a load most runs are still in
 /// progress. Counting either would underestimate the cost of a route and admit too many
@@ -56,26 +60,43 @@
     std::vector<call_edge> edges() const;
 
 private:
-    struct made_call
+    /// Calls of a run to one route.
+    struct made_calls
     {
-        route_name callee;
-        double probability = 0; ///< Probability that this run made the call.
-        bool attributed = false;
+        double expected = 0;
+        double evidence = 0; ///< Calls that end with the run, less matches by chance.
     };
     struct open_run
     {
         route_name route;
-        std::vector<made_call> calls;
+        std::map<route_name, made_calls> calls;
+    };
+    struct callee_timeouts
+    {
+        milliseconds longest{0};
+        double shortened = 0; ///< Calls with a shorter timeout.
+        double unmatched = 0; ///< Of these, calls that end with no run.
+
+        /// Returns whether the callers choose different timeouts by themselves.
+        bool vary() const;
     };
     using counts = std::map<route_name, std::map<route_name, double>>;
 
     double attributed_rate(const route_name& from, const route_name& to) const;
+    double weight_of(const possible_parent& run, const route_name& callee) const;
+    std::map<priority, double>
+    weights_by_rank(const route_name& callee,
+                    const std::vector<possible_parent>& runs) const;
+    std::optional<priority> distribute(const route_name& callee,
+                                       const std::vector<possible_parent>& candidates);
+    void add_evidence(const route_name& callee, const std::vector<possible_parent>& runs,
+                      double sign);
 
     std::unordered_map<run_number, open_run> open_;
     std::map<route_name, double> runs_; ///< Completed runs.
     counts calls_;
-    counts attributed_calls_; ///< Calls whose deadline identifies the parent.
-    std::map<route_name, milliseconds> longest_time_left_;
+    counts attributed_calls_; ///< Evidence of the completed runs.
+    std::map<route_name, callee_timeouts> timeouts_;
 };
 
 /// Slot time in milliseconds that one request of a route uses at each service, including
