Send requests to a server of unknown speed

A server without a measured time counts as fast as the fastest known one.

Result. uses_a_server_of_unknown_speed failed before (none of 1,000 choices) and passes.

--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -58,6 +58,23 @@
     return known == 0 ? 1 : sum / known;
 }
 
+/// Returns the candidates, with the shortest known service time for those whose time is
+/// unknown. A mean time would leave a new server without requests, and so without a
+/// measured time, for as long as a faster one has slots to spare.
+std::vector<placement_candidate>
+with_assumed_times(std::vector<placement_candidate> candidates)
+{
+    double shortest_ms = 0;
+    for (const auto& candidate : candidates)
+        if (candidate.service_ms > 0 &&
+            (shortest_ms <= 0 || candidate.service_ms < shortest_ms))
+            shortest_ms = candidate.service_ms;
+    for (auto& candidate : candidates)
+        if (candidate.service_ms <= 0)
+            candidate.service_ms = shortest_ms;
+    return candidates;
+}
+
 /// Returns the relative cost, remote to local, below which the remote server is chosen.
 double remote_cost_bound(const placement_candidate& local, double local_cost,
                          milliseconds target_latency)
@@ -125,7 +142,8 @@
 {
     candidate_list local;
     candidate_list remote;
-    for (const auto& candidate : candidates)
+    const auto with_times = with_assumed_times(candidates);
+    for (const auto& candidate : with_times)
         (candidate.node_distance == distance::other_domain ? remote : local)
             .push_back(&candidate);
     const double typical_ms = typical_service_ms(candidates);
--- a/src/gateway/placement_test.cpp
+++ b/src/gateway/placement_test.cpp
@@ -51,6 +51,16 @@
     cr_expect_eq(chosen.count("far"), 0U);
 }
 
+// A server that has just joined has no measured time. It must get requests although a
+// fast server nearby has slots to spare.
+Test(placement, uses_a_server_of_unknown_speed)
+{
+    auto chosen = count_choices({make_candidate("fast", distance::same_domain, 3, 20),
+                                 make_candidate("new", distance::same_domain, 0, 0),
+                                 make_candidate("slow", distance::other_domain, 3, 60)});
+    cr_expect_gt(chosen["new"], 100);
+}
+
 // Servers of one service differ threefold in speed. With a target latency far above both
 // times, the faster remote server gains nothing and must not be used; with a short target
 // it must.
