Ping idle links rarely and encode a broadcast once

Every pair of nodes has a link, and each was pinged after 200 ms of silence, so two thirds of all messages were pings and their answers, while reports pass on each link every 0.25 to 0.7 s. A report to all was encoded once a link.

A link counts as in use while a reply is awaited on it, and is pinged as before then. Another one is pinged only when a report is late (after 750 ms). A peer gets no new requests when a ping has been unanswered for 350 ms (as before, 550 ms after the last sign of life) or when two reports are missing. Broadcasts are encoded once. The bytes of the links are in the metrics.

--- a/src/gateway/metrics_text.cpp
+++ b/src/gateway/metrics_text.cpp
@@ -110,6 +110,9 @@
     add_executor(out, executor);
     out.add("peers_known", "", node_peers.all().size());
     out.add("peers_linked", "", node_peers.linked_count());
+    const auto traffic = node_peers.traffic();
+    out.add("link_bytes_sent_total", "", traffic.bytes_sent);
+    out.add("link_bytes_received_total", "", traffic.bytes_received);
     out.add("config_version", "", table ? table->config().version.get() : 0);
     out.add("config_unconfirmed_seconds", "", in_seconds(log.config_unconfirmed_for));
     out.add("records_skipped_total", "", log.records_skipped);
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -4,6 +4,7 @@
 
 #include "fescueridge/base/overloaded.hpp"
 #include "fescueridge/gateway/freshness.hpp"
+#include "fescueridge/gateway/report_schedule.hpp"
 
 namespace fescueridge::gateway
 {
@@ -18,9 +19,11 @@
 /// each other at the same time from opening two links.
 constexpr milliseconds higher_name_dial_delay{300};
 
-/// Heartbeat interval and timeouts of the links.
+/// Heartbeat intervals and timeouts of the links. The reports show that an idle link
+/// works, so it is pinged only when one is late.
 constexpr link_options link_heartbeat{milliseconds{200}, freshness::max_link_silence,
-                                      milliseconds{1'000}};
+                                      milliseconds{1'000},
+                                      report_schedule::max_interval + milliseconds{50}};
 
 forward_reply_message link_lost_reply(std::uint64_t number)
 {
@@ -242,6 +245,7 @@
     message.number = ++next_number_;
     if (!to.connection->send(message))
         return 0;
+    to.connection->expect_reply(message.time_left);
     ++to.in_flight;
     ++to.sent_since_report;
     forwarded_requests_.emplace(message.number,
@@ -284,17 +288,21 @@
     forwarded_requests_.erase(found);
 }
 
-bool peers::is_unresponsive(const peer& other)
+bool peers::is_unresponsive(const peer& other) const
 {
+    const auto report_interval = report_schedule::interval(peers_.size());
     return !other.connection ||
-           other.connection->silent_for() > freshness::max_responsive_silence;
+           other.connection->unanswered_for() > freshness::max_unanswered_ping ||
+           other.connection->silent_for() >
+               freshness::max_responsive_silence(report_interval);
 }
 
 void peers::broadcast(const link_message& message)
 {
+    const auto encoded = hub_->encode(message);
     for (const auto& [node, other] : peers_)
         if (other.connection)
-            other.connection->send(message);
+            other.connection->send_encoded(encoded);
 }
 
 void peers::record_outcome(const node_id& node, bool failed)
--- a/src/gateway/report_schedule.cpp
+++ b/src/gateway/report_schedule.cpp
@@ -10,10 +10,6 @@
 constexpr milliseconds min_report_interval{250};
 constexpr milliseconds interval_per_peer{10};
 
-/// At most half the lifetime of a report (see fleet_view), so that losing one report does
-/// not make a node's data expire.
-constexpr milliseconds max_report_interval{700};
-
 constexpr milliseconds estimates_interval{1'000};
 
 /// Time after the start during which every report includes the estimates, because the
@@ -22,12 +18,17 @@
 
 } // namespace
 
+milliseconds report_schedule::interval(std::size_t peers)
+{
+    const auto wanted = interval_per_peer * static_cast<std::int64_t>(peers);
+    return std::clamp(wanted, min_report_interval, max_interval);
+}
+
 std::optional<due_report> report_schedule::poll(time_point now, std::size_t peers)
 {
     if (now < next_report_)
         return std::nullopt;
-    const auto wanted = interval_per_peer * static_cast<std::int64_t>(peers);
-    next_report_ = now + std::clamp(wanted, min_report_interval, max_report_interval);
+    next_report_ = now + interval(peers);
     const bool with_learned = now - start_ < startup_time || now >= next_learned_;
     if (with_learned)
         next_learned_ = now + estimates_interval;
--- a/src/gateway/request_router.cpp
+++ b/src/gateway/request_router.cpp
@@ -174,7 +174,7 @@
     {
         const auto& report = other.report;
         if (report.accepting && report.server && report.server->service == service &&
-            !is_tried(node) && !peers::is_unresponsive(other))
+            !is_tried(node) && !peers_.is_unresponsive(other))
             found.push_back(candidate_of(other));
     }
     return found;
--- a/src/include/fescueridge/gateway/freshness.hpp
+++ b/src/include/fescueridge/gateway/freshness.hpp
@@ -52,9 +52,16 @@
 /// A link that is silent for longer is closed: its pending requests fail.
 constexpr milliseconds max_link_silence{1'200};
 
-/// A peer whose link is silent for longer, with two link heartbeats missing, receives no
+/// A peer that has not answered a ping for longer receives no new requests. A link in use
+/// is pinged after 200 ms of silence, another one when a report is late.
+constexpr milliseconds max_unanswered_ping{350};
+
+/// Returns the time of silence after which a peer, with two reports missing, receives no
 /// new requests.
-constexpr milliseconds max_responsive_silence{550};
+constexpr milliseconds max_responsive_silence(milliseconds report_interval)
+{
+    return 2 * report_interval + milliseconds{50};
+}
 
 /// Reports older than this are ignored.
 constexpr milliseconds max_report_age{1'500};
--- a/src/include/fescueridge/gateway/peers.hpp
+++ b/src/include/fescueridge/gateway/peers.hpp
@@ -80,9 +80,9 @@
     /// called.
     void cancel(std::uint64_t number);
 
-    /// Returns whether the peer has no link, or its link has been silent for so long that
-    /// it may be broken.
-    static bool is_unresponsive(const peer& other);
+    /// Returns whether the peer has no link, or its link owes a ping's answer or reports
+    /// for so long that it may be broken.
+    bool is_unresponsive(const peer& other) const;
 
     /// Sends a message to every linked peer.
     void broadcast(const link_message& message);
@@ -93,6 +93,9 @@
     const std::map<node_id, peer>& all() const noexcept { return peers_; }
     std::size_t linked_count() const;
 
+    /// Returns the bytes of messages that the links have sent and received.
+    link_counters traffic() const { return hub_ ? hub_->counters() : link_counters{}; }
+
     /// Returns this node's record for publishing.
     const node_record& self() const noexcept { return self_; }
 
--- a/src/include/fescueridge/gateway/report_schedule.hpp
+++ b/src/include/fescueridge/gateway/report_schedule.hpp
@@ -21,6 +21,13 @@
 class report_schedule
 {
 public:
+    /// At most half the lifetime of a report (see fleet_view), so that losing one report
+    /// does not make a node's data expire.
+    static constexpr milliseconds max_interval{700};
+
+    /// Returns the time between two reports of a node with this number of peers.
+    static milliseconds interval(std::size_t peers);
+
     explicit report_schedule(time_point start) : start_(start) {}
 
     /// Returns the report that is due at `now`, or null.
--- a/src/include/fescueridge/transport/link_hub.hpp
+++ b/src/include/fescueridge/transport/link_hub.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,12 @@
 class link_hub_impl;
 }
 
+/// A message as it is sent, encoded once for several links.
+struct encoded_message
+{
+    std::string bytes;
+};
+
 /// An open link to another node: the hello of both sides has been exchanged. Safe for use
 /// from several threads.
 class link
@@ -40,6 +47,12 @@
     /// bytes unread. True does not promise that the message arrives.
     virtual bool send(const link_message& message) = 0;
 
+    /// Queues a message that link_hub::encode() has encoded; as send() otherwise.
+    virtual bool send_encoded(const encoded_message& message) = 0;
+
+    /// Notes that a reply is awaited for this time: the link counts as in use until then.
+    virtual void expect_reply(milliseconds timeout) = 0;
+
     /// Returns the hello of the peer.
     virtual const hello_message& peer() const noexcept = 0;
 
@@ -53,6 +66,10 @@
     /// Returns the time since something was received.
     virtual milliseconds silent_for() const = 0;
 
+    /// Returns the time since the first ping after which nothing was received, or 0 when
+    /// no ping is unanswered.
+    virtual milliseconds unanswered_for() const = 0;
+
     /// Tells whether the link can still send.
     virtual bool is_open() const noexcept = 0;
 
@@ -105,6 +122,8 @@
     milliseconds ping_interval{500};
     milliseconds silence_limit{1500};
     milliseconds open_timeout{1500};
+    /// Of a link that is not in use; null for the same interval as on the others.
+    std::optional<milliseconds> idle_ping_interval;
 };
 
 /// Bytes of the encoded frames of all links since the start, without the headers of
@@ -150,6 +169,9 @@
     /// one id it takes the one with the higher incarnation.
     link_ptr find(const node_id& node) const;
 
+    /// Encodes a message for link::send_encoded().
+    encoded_message encode(const link_message& message) const;
+
     /// Returns all open links.
     std::vector<link_ptr> links() const;
 
--- a/src/transport/link_hub.cpp
+++ b/src/transport/link_hub.cpp
@@ -286,6 +286,11 @@
     return impl_->find(node);
 }
 
+encoded_message link_hub::encode(const link_message& message) const
+{
+    return {encode_frame({impl_->events_.stamp(), message})};
+}
+
 std::vector<link_ptr> link_hub::links() const
 {
     return impl_->links();
--- a/src/transport/link_hub_test.cpp
+++ b/src/transport/link_hub_test.cpp
@@ -63,6 +63,7 @@
             const std::lock_guard lock(mutex);
             wrong += reply->body != "body of " + reply->id.get();
             replies.insert(reply->id.get());
+            ++replies_received;
         }
     }
 
@@ -76,6 +77,7 @@
     std::atomic<int> closed{0};
     std::atomic<int> faults{0};
     std::atomic<int> wrong{0};
+    std::atomic<int> replies_received{0};
     std::atomic<link_fault_kind> last_fault{link_fault_kind::cut};
     std::mutex mutex;
     std::set<std::string> replies;
@@ -242,6 +244,63 @@
     cr_expect(eventually([&] { return b.closed == 1; }));
 }
 
+// Most links of a large fleet carry no request at a time, and their pings were two thirds
+// of all messages. A link in use must still be checked often.
+Test(link_hub, pings_an_idle_link_rarely)
+{
+    io_threads threads;
+    const link_options options{100ms, 10'000ms, 1'000ms, 20'000ms};
+    peer_node a(threads.io, "a", options);
+    peer_node b(threads.io, "b", options);
+    const auto link = connect(a, b);
+    const auto idle = a.hub.counters().bytes_sent;
+    std::this_thread::sleep_for(600ms);
+    cr_expect_eq(a.hub.counters().bytes_sent, idle);
+    link->expect_reply(2'000ms);
+    cr_expect(eventually([&] { return a.hub.counters().bytes_sent > idle; }));
+}
+
+// A peer that does not answer a ping must not get more requests until the silence limit.
+Test(link_hub, measures_the_time_of_an_unanswered_ping)
+{
+    io_threads threads;
+    auto paused_threads = std::make_unique<io_threads>(1);
+    const link_options options{100ms, 10'000ms, 1'000ms, 20'000ms};
+    peer_node a(threads.io, "a", options);
+    peer_node b(paused_threads->io, "b", options);
+    const auto link = connect(a, b);
+    cr_expect_eq(link->unanswered_for().count(), 0);
+    std::promise<void> resume;
+    asio::post(paused_threads->io, [&] { resume.get_future().wait(); });
+    link->expect_reply(5'000ms);
+    cr_expect(eventually([&] { return link->unanswered_for() > 300ms; }));
+    cr_expect(link->is_open());
+    resume.set_value();
+    cr_expect(eventually([&] { return link->unanswered_for() == 0ms; }));
+}
+
+// A message for all peers is encoded once.
+Test(link_hub, sends_an_encoded_message_on_several_links)
+{
+    io_threads threads;
+    peer_node a(threads.io, "a");
+    peer_node b(threads.io, "b");
+    peer_node c(threads.io, "c");
+    const auto to_b = connect(a, b);
+    a.hub.dial(c.hub.bound());
+    cr_assert(eventually([&] { return a.opened == 2 && c.opened == 1; }));
+    call_message call;
+    call.id = call_id("1");
+    call.body = "body of 1";
+    const auto encoded = a.hub.encode(call);
+    for (const auto& link : a.hub.links())
+        cr_expect(link->send_encoded(encoded));
+    cr_expect(eventually([&] { return a.replies_received == 2; }));
+    cr_expect_eq(a.wrong, 0);
+    to_b->close();
+    cr_expect(eventually([&] { return !to_b->send_encoded(encoded); }));
+}
+
 // Guards against bytes of a broken peer stopping the process or other links.
 Test(link_hub, closes_a_link_on_a_bad_frame)
 {
--- a/src/transport/link_impl.cpp
+++ b/src/transport/link_impl.cpp
@@ -1,5 +1,7 @@
 #include "link_impl.hpp"
 
+#include <algorithm>
+
 namespace fescueridge::detail
 {
 namespace
@@ -68,11 +70,31 @@
     return state_ == state::open && write(message);
 }
 
+bool link_impl::send_encoded(const encoded_message& message)
+{
+    return state_ == state::open && write_bytes(message.bytes);
+}
+
+void link_impl::expect_reply(milliseconds timeout)
+{
+    in_use_until_ = std::max(in_use_until_.load(), clock::now() + timeout);
+}
+
+milliseconds link_impl::unanswered_for() const
+{
+    const auto since = unanswered_ping_.load();
+    return since == time_point{} ? milliseconds{0} : clock::now() - since;
+}
+
 bool link_impl::write(const link_message& message)
+{
+    return write_bytes(encode_frame({hub_->events_.stamp(), message}));
+}
+
+bool link_impl::write_bytes(const std::string& bytes)
 {
     if (connection_->get_buffered_amount() > max_backlog_bytes)
         return false;
-    const auto bytes = encode_frame({hub_->events_.stamp(), message});
     if (bytes.size() > max_frame_bytes)
         return false;
     if (connection_->send(bytes, websocketpp::frame::opcode::binary))
@@ -86,6 +108,7 @@
     if (state_ == state::closed)
         return;
     last_received_ = clock::now();
+    unanswered_ping_ = time_point{};
     if (frame->get_opcode() != websocketpp::frame::opcode::binary)
         return end(fault(link_fault_kind::bad_frame, "frame is not binary"));
     hub_->bytes_received_ += frame->get_payload().size();
@@ -175,10 +198,22 @@
         last_not_full_ = now;
     if (now - last_not_full_ > hub_->options_.silence_limit)
         return end_soon(fault(link_fault_kind::backlog, "peer does not read"));
-    // What arrives shows that the peer lives; a peer that hears nothing asks itself.
-    if (now < next_ping_ || silent_for < hub_->options_.ping_interval)
+    ping_if_due(now, silent_for);
+}
+
+// What arrives shows that the peer lives; a peer that hears nothing asks itself.
+void link_impl::ping_if_due(time_point now, milliseconds silent_for)
+{
+    const auto& options = hub_->options_;
+    const bool in_use = now < in_use_until_.load();
+    const auto interval =
+        in_use ? options.ping_interval
+               : options.idle_ping_interval.value_or(options.ping_interval);
+    if (now < next_ping_ || silent_for < interval)
         return;
-    next_ping_ = now + hub_->options_.ping_interval;
+    next_ping_ = now + options.ping_interval;
+    if (unanswered_ping_.load() == time_point{})
+        unanswered_ping_ = now;
     write(ping_message{now.time_since_epoch().count()});
 }
 
--- a/src/transport/link_impl.hpp
+++ b/src/transport/link_impl.hpp
@@ -31,6 +31,8 @@
     }
 
     bool send(const link_message& message) override;
+    bool send_encoded(const encoded_message& message) override;
+    void expect_reply(milliseconds timeout) override;
     const hello_message& peer() const noexcept override { return peer_; }
     endpoint remote() const override { return remote_; }
     bool dialled() const noexcept override { return dialled_; }
@@ -39,6 +41,7 @@
     {
         return clock::now() - last_received_.load();
     }
+    milliseconds unanswered_for() const override;
     void close() override { end_soon({}); }
 
     void attach();
@@ -60,6 +63,8 @@
     void on_first(link_message message);
     void on_end();
     bool write(const link_message& message);
+    bool write_bytes(const std::string& bytes);
+    void ping_if_due(time_point now, milliseconds silent_for);
     void end_soon(std::optional<link_fault> fault);
     void end(const std::optional<link_fault>& fault);
     link_fault fault(link_fault_kind kind, std::string detail) const;
@@ -72,6 +77,9 @@
     std::atomic<state> state_{state::opening};
     std::atomic<bool> upgraded_{false};
     std::atomic<time_point> last_received_{clock::now()};
+    std::atomic<time_point> in_use_until_{time_point{}};
+    /// Of the first ping after which nothing was received; the epoch when there is none.
+    std::atomic<time_point> unanswered_ping_{time_point{}};
     time_point next_ping_{};
     time_point last_not_full_ = clock::now();
 };
