Hold the estimates of calls while runs fail, and correct early ones

Two more reasons for which entries began requests that failed in the depth. And runs that make no calls at all (uploads, beside the lookups that do) were given 1.4 calls at the start, before there was evidence, and lost them only over tens of seconds: they were refused with the others.

Estimates of a route are held while more than a tenth of its runs fail. Where timeouts vary, only calls with much less than the usual timeout count as shortened by their parent.

--- a/src/gateway/call_graph.cpp
+++ b/src/gateway/call_graph.cpp
@@ -1,6 +1,7 @@
 #include "fescueridge/gateway/call_graph.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace fescueridge::gateway
@@ -19,18 +20,30 @@
 /// Maximum difference between the deadlines of such a call and of its parent.
 constexpr milliseconds deadline_tolerance{2};
 
+/// Evidence about the callers of a route, in calls, from which their weights are used for
+/// the calls counted before, too.
+constexpr double min_evidence = 10;
+
 /// Offset of the control window: runs that end so long after a call match its deadline
 /// only by chance, so they show how many other matches are due to chance.
 constexpr milliseconds control_offset{10};
 
-/// Number of shortened calls to a route, and the fraction of them without a matching run,
-/// from which its callers are taken to vary their timeouts by themselves.
-constexpr double min_shortened_calls = 20;
+/// Number of calls to a route with a shorter timeout than the longest, and the fraction
+/// of them without a matching run, from which callers are taken to vary their timeouts.
+constexpr double min_shorter_calls = 20;
 constexpr double max_unmatched_fraction = 0.2;
 
+/// Ratio between the steps by which timeouts are counted, and the number of steps by
+/// which callers vary a timeout at most.
+constexpr double timeout_step_ratio = 1.25;
+constexpr int max_steps_of_variation = 1;
+
 /// Minimum number of completed runs for the call rates of a route to be reported.
 constexpr double min_reported_runs = 10;
 
+/// Fraction of failed runs from which the estimates of a route are held.
+constexpr double max_failed_fraction = 0.1;
+
 /// Weight of the initial estimates from another process, in runs.
 constexpr double initial_estimate_runs = 30;
 
@@ -40,6 +53,10 @@
 /// Call rates below this are treated as noise and not reported.
 constexpr double min_reported_calls_per_run = 0.01;
 
+/// Maximum number of edges that expected_calls() follows. It ends the walk of a cycle,
+/// which is an artifact of the estimated call graph.
+constexpr std::size_t max_followed_edges = 32;
+
 /// Returns whether the run ends at this time after the call.
 bool ends_at(const possible_parent& run, milliseconds offset)
 {
@@ -119,16 +136,29 @@
         return;
     const open_run ended = std::move(found->second);
     open_.erase(found);
-    if (!completed)
+    failures_[ended.route].record(!completed);
+    if (!completed || is_held(ended.route))
         return;
     ++runs_[ended.route];
     for (const auto& [callee, made] : ended.calls)
     {
         calls_[ended.route][callee] += made.expected;
         attributed_calls_[ended.route][callee] += made.evidence;
+        if (made.evidence > 0)
+            reweigh_once(callee);
     }
 }
 
+// Without estimates, those of the completed runs are better than none.
+bool call_graph_estimator::is_held(const route_name& route) const
+{
+    const auto failures = failures_.find(route);
+    const auto runs = runs_.find(route);
+    return failures != failures_.end() &&
+           failures->second.value() > max_failed_fraction && runs != runs_.end() &&
+           runs->second >= min_reported_runs;
+}
+
 double call_graph_estimator::attributed_rate(const route_name& from,
                                              const route_name& to) const
 {
@@ -144,9 +174,6 @@
 call_graph_estimator::on_call(const route_name& callee, milliseconds time_left,
                               const std::vector<possible_parent>& running)
 {
-    auto& timeouts = timeouts_[callee];
-    timeouts.longest = std::max(timeouts.longest, time_left);
-    const bool shortened = time_left + shortened_margin < timeouts.longest;
     std::vector<possible_parent> later;
     std::vector<possible_parent> matching;
     std::vector<possible_parent> control;
@@ -159,30 +186,80 @@
         if (ends_at(run, control_offset))
             control.push_back(run);
     }
-    if (!shortened)
+    auto& timeouts = timeouts_[callee];
+    timeouts.record(time_left, !matching.empty());
+    if (!timeouts.is_shortened(time_left))
         return distribute(callee, later);
-    timeouts.shortened += 1;
-    timeouts.unmatched += matching.empty() ? 1 : 0;
     add_evidence(callee, matching, 1);
     add_evidence(callee, control, -1);
-    if (matching.empty())
-        return distribute(callee, later);
-    if (!timeouts.vary())
-        return distribute(callee, matching);
-    distribute(callee, later);
-    return most_likely_priority(weights_by_rank(callee, matching));
+    return distribute(callee, matching.empty() ? later : matching);
+}
+
+int call_graph_estimator::callee_timeouts::step_of(milliseconds timeout)
+{
+    const auto ms = static_cast<double>(std::max<std::int64_t>(1, timeout.count()));
+    return static_cast<int>(std::floor(std::log(ms) / std::log(timeout_step_ratio)));
+}
+
+void call_graph_estimator::callee_timeouts::record(milliseconds timeout, bool matches)
+{
+    longest = std::max(longest, timeout);
+    by_step[step_of(timeout)] += 1;
+    if (timeout + shortened_margin >= longest)
+        return;
+    shorter += 1;
+    unmatched += matches ? 0 : 1;
 }
 
 bool call_graph_estimator::callee_timeouts::vary() const
 {
-    return shortened >= min_shortened_calls &&
-           unmatched > max_unmatched_fraction * shortened;
+    return shorter >= min_shorter_calls && unmatched > max_unmatched_fraction * shorter;
+}
+
+bool call_graph_estimator::callee_timeouts::is_shortened(milliseconds timeout) const
+{
+    if (!vary())
+        return timeout + shortened_margin < longest;
+    const auto usual = std::max_element(by_step.begin(), by_step.end(),
+                                        [](const auto& a, const auto& b)
+                                        { return a.second < b.second; });
+    return step_of(timeout) + max_steps_of_variation < usual->first;
 }
 
-double call_graph_estimator::weight_of(const possible_parent& run,
+void call_graph_estimator::callee_timeouts::decay()
+{
+    shorter *= decay_factor_per_s;
+    unmatched *= decay_factor_per_s;
+    for (auto& [step, count] : by_step)
+        count *= decay_factor_per_s;
+}
+
+// Calls counted before there was evidence were distributed evenly. Without the correction
+// they would decide the estimate for as long as it takes to forget them.
+void call_graph_estimator::reweigh_once(const route_name& callee)
+{
+    double evidence = 0;
+    for (const auto& [route, callees] : attributed_calls_)
+        if (const auto found = callees.find(callee); found != callees.end())
+            evidence += found->second;
+    if (evidence < min_evidence || !reweighed_.insert(callee).second)
+        return;
+    double total = 0;
+    double weighted = 0;
+    for (auto& [route, callees] : calls_)
+    {
+        total += callees[callee];
+        weighted += callees[callee] * weight_of(route, callee);
+    }
+    for (auto& [route, callees] : calls_)
+        if (weighted > 0)
+            callees[callee] *= weight_of(route, callee) * total / weighted;
+}
+
+double call_graph_estimator::weight_of(const route_name& route,
                                        const route_name& callee) const
 {
-    return std::max(min_calls_per_run, attributed_rate(run.route, callee));
+    return std::max(min_calls_per_run, attributed_rate(route, callee));
 }
 
 std::map<priority, double>
@@ -191,7 +268,7 @@
 {
     std::map<priority, double> by_rank;
     for (const auto& run : runs)
-        by_rank[run.rank] += weight_of(run, callee);
+        by_rank[run.rank] += weight_of(run.route, callee);
     return by_rank;
 }
 
@@ -201,10 +278,10 @@
 {
     double total = 0;
     for (const auto& run : candidates)
-        total += weight_of(run, callee);
+        total += weight_of(run.route, callee);
     for (const auto& run : candidates)
         if (const auto found = open_.find(run.number); found != open_.end())
-            found->second.calls[callee].expected += weight_of(run, callee) / total;
+            found->second.calls[callee].expected += weight_of(run.route, callee) / total;
     return most_likely_priority(weights_by_rank(callee, candidates));
 }
 
@@ -222,15 +299,17 @@
 {
     for (auto& [callee, timeouts] : timeouts_)
     {
-        timeouts.shortened *= decay_factor_per_s;
-        timeouts.unmatched *= decay_factor_per_s;
+        timeouts.decay();
     }
     for (auto& [route, count] : runs_)
+    {
+        if (is_held(route))
+            continue;
         count *= decay_factor_per_s;
-    for (auto* counts : {&calls_, &attributed_calls_})
-        for (auto& [route, callees] : *counts)
-            for (auto& [callee, count] : callees)
-                count *= decay_factor_per_s;
+        for (auto* counts : {&calls_, &attributed_calls_})
+            for (auto& [callee, calls] : (*counts)[route])
+                calls *= decay_factor_per_s;
+    }
 }
 
 std::vector<call_edge> call_graph_estimator::edges() const
@@ -248,6 +327,25 @@
     return result;
 }
 
+std::map<route_name, double> expected_calls(const route_name& route,
+                                            const std::vector<call_edge>& calls)
+{
+    std::map<route_name, double> expected;
+    std::vector<std::pair<route_name, double>> pending{{route, 1.0}};
+    for (std::size_t i = 0; i < pending.size() && i < max_followed_edges; ++i)
+    {
+        const auto [from, runs] = pending[i];
+        for (const call_edge& edge : calls)
+        {
+            if (edge.from != from)
+                continue;
+            expected[edge.to] += runs * edge.calls_per_run;
+            pending.emplace_back(edge.to, runs * edge.calls_per_run);
+        }
+    }
+    return expected;
+}
+
 std::map<route_name, service_costs>
 service_costs_of(const std::map<route_name, route_cost_input>& routes,
                  const std::vector<call_edge>& calls)
--- a/src/include/fescueridge/gateway/call_graph.hpp
+++ b/src/include/fescueridge/gateway/call_graph.hpp
@@ -2,12 +2,14 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
 #include "fescueridge/base/clock.hpp"
 #include "fescueridge/base/types.hpp"
 #include "fescueridge/codec/gateway_messages.hpp"
+#include "fescueridge/gateway/failure_rate.hpp"
 #include "fescueridge/gateway/run_queue.hpp"
 
 namespace fescueridge::gateway
@@ -29,14 +31,18 @@
 /// over the runs with later deadlines, weighted by the call rates of their routes as
 /// measured from attributed calls.
 ///
-/// Where callers vary their timeouts by themselves, many short calls match no run, and
-/// most matches are chance. Then all calls are distributed, and matches only count for
-/// the weights, less those in a control window.
+/// Where callers vary their timeouts by themselves, many shorter calls end with no run.
+/// Only calls with much less than the usual timeout count as shortened then, and matches
+/// count less those in a control window, which are chance.
 ///
 /// Only completed runs are counted, with all calls that they made. Under overload many
 /// runs end before their last calls, and at the start of a load most runs are still in
 /// progress. Counting either would underestimate the cost of a route and admit too many
 /// of its requests.
+///
+/// While a notable part of the runs of a route fails, its estimates are held: a call that
+/// can't be attributed is distributed over all running runs, so the failing ones, which
+/// run longest, would take the calls of the completed ones with them.
 class call_graph_estimator
 {
 public:
@@ -71,19 +77,30 @@
         route_name route;
         std::map<route_name, made_calls> calls;
     };
+    /// Timeouts of the calls to one route.
     struct callee_timeouts
     {
         milliseconds longest{0};
-        double shortened = 0; ///< Calls with a shorter timeout.
-        double unmatched = 0; ///< Of these, calls that end with no run.
+        std::map<int, double> by_step; ///< Calls by the logarithm of their timeout.
+        double shorter = 0;            ///< Calls with a shorter timeout than the longest.
+        double unmatched = 0;          ///< Of these, calls that end with no run.
+
+        static int step_of(milliseconds timeout);
+        void record(milliseconds timeout, bool matches);
 
         /// Returns whether the callers choose different timeouts by themselves.
         bool vary() const;
+
+        /// Returns whether the parent of the call shortened its timeout.
+        bool is_shortened(milliseconds timeout) const;
+        void decay();
     };
     using counts = std::map<route_name, std::map<route_name, double>>;
 
     double attributed_rate(const route_name& from, const route_name& to) const;
-    double weight_of(const possible_parent& run, const route_name& callee) const;
+    bool is_held(const route_name& route) const;
+    double weight_of(const route_name& route, const route_name& callee) const;
+    void reweigh_once(const route_name& callee);
     std::map<priority, double>
     weights_by_rank(const route_name& callee,
                     const std::vector<possible_parent>& runs) const;
@@ -94,11 +111,18 @@
 
     std::unordered_map<run_number, open_run> open_;
     std::map<route_name, double> runs_; ///< Completed runs.
+    std::map<route_name, failure_rate> failures_;
     counts calls_;
     counts attributed_calls_; ///< Evidence of the completed runs.
     std::map<route_name, callee_timeouts> timeouts_;
+    std::set<route_name> reweighed_; ///< Callees whose early calls are corrected.
 };
 
+/// Returns how many calls to each other route a request of `route` causes, directly and
+/// through its calls.
+std::map<route_name, double> expected_calls(const route_name& route,
+                                            const std::vector<call_edge>& calls);
+
 /// Slot time in milliseconds that one request of a route uses at each service, including
 /// all direct and indirect calls.
 using service_costs = std::map<service_name, double>;
