Refuse requests whose calls have no server

A service without a reachable server has no capacity entry, and that was taken for no limit. On the other side, a route that calls an overloaded service only at times was refused like those that depend on it.

A request whose calls need a service that had a server before and has none now is refused at the entry. A class is held back by a service only to the extent to which it needs it.

Result. refuses_requests_whose_calls_lack_a_server and admits_what_rarely_needs_the_overloaded_service need the new interface; with the lines of the decision as they were, both classes get the other share.

--- a/src/gateway/admission_plan.cpp
+++ b/src/gateway/admission_plan.cpp
@@ -23,8 +23,12 @@
 {
     std::map<service_name, double> required_ms_per_s;
     for (std::size_t i = group.first; i < group.second; ++i)
+    {
+        if (demands[i].lacks_server)
+            continue;
         for (const auto& [service, ms] : demands[i].costs)
             required_ms_per_s[service] += demands[i].arrivals_per_s * ms;
+    }
     std::map<service_name, double> covered_fraction;
     for (const auto& [service, ms] : required_ms_per_s)
     {
@@ -35,18 +39,25 @@
     return covered_fraction;
 }
 
+double need_of(const class_demand& demand, const service_name& service)
+{
+    const auto found = demand.need.find(service);
+    return found == demand.need.end() ? 1 : found->second;
+}
+
 void admit_group(const std::vector<class_demand>& demands, const demand_range& group,
                  service_capacity& remaining, class_shares& shares)
 {
     const auto covered_fraction = covered_fractions(demands, group, remaining);
     for (std::size_t i = group.first; i < group.second; ++i)
     {
-        double share = 1;
+        double share = demands[i].lacks_server ? 0 : 1;
         for (const auto& [service, ms] : demands[i].costs)
         {
             const auto found = covered_fraction.find(service);
             if (ms > 0 && found != covered_fraction.end())
-                share = std::min(share, found->second);
+                share = std::min(
+                    share, std::max(found->second, 1 - need_of(demands[i], service)));
         }
         shares[demands[i].request_class] = share;
         for (const auto& [service, ms] : demands[i].costs)
--- a/src/gateway/admission_plan_test.cpp
+++ b/src/gateway/admission_plan_test.cpp
@@ -54,6 +54,19 @@
     cr_expect_float_eq(shares.at({browse, false}), left / (900 * 88), 1e-9);
 }
 
+// A route that hardly ever calls the overloaded service, or seems to, must not be refused
+// along with those that depend on it.
+Test(admission_plan, admits_what_rarely_needs_the_overloaded_service)
+{
+    auto demands = surge_demands();
+    demands.push_back(
+        make_demand(route_name("upload"), 2, 80, {{menu, 260}, {tills, 5}}));
+    demands.back().need = {{menu, 1}, {tills, 0.1}};
+    const auto shares = admitted_shares(demands, {{menu, 900'000}, {tills, 50'000}});
+    cr_expect_eq(shares.at({browse, false}), 0);
+    cr_expect_float_eq(shares.at({route_name("upload"), false}), 0.9, 1e-9);
+}
+
 // If client retries, whose answers are late already, take the capacity of new requests,
 // the rejected new requests become late retries in turn. Within a priority, new requests
 // must be admitted first.
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -6,6 +6,15 @@
 
 namespace fescueridge::gateway
 {
+namespace
+{
+
+/// Expected number of calls of a request without a server to run them from which the
+/// request is not worth starting: it succeeds in less than half of the cases.
+constexpr double max_calls_without_server = 0.7;
+
+} // namespace
+
 void fleet_view::add(const node_report_message& report, time_point report_time)
 {
     if (now_ - report_time > freshness::max_report_age)
@@ -59,18 +68,66 @@
     {
         if (called.count(route.name) != 0)
             continue;
+        const bool unservable = lacks_server(route, calls);
+        const auto need = need_of(route, calls);
         for (const bool client_retry : {false, true})
         {
             const admission_class request_class{route.name, client_retry};
             const auto arrivals = arrivals_.find(request_class);
             if (arrivals != arrivals_.end() && arrivals->second > 0)
-                result.push_back(
-                    {request_class, route.rank, arrivals->second, costs.at(route.name)});
+                result.push_back({request_class, route.rank, arrivals->second,
+                                  costs.at(route.name), need, unservable});
         }
     }
     return result;
 }
 
+std::set<service_name> fleet_view::available_services() const
+{
+    std::set<service_name> result;
+    for (const auto& [service, state] : services_)
+        result.insert(service);
+    return result;
+}
+
+bool fleet_view::lacks_server(const service_name& service) const
+{
+    return known_services_.count(service) != 0 && services_.count(service) == 0;
+}
+
+std::map<service_name, double>
+fleet_view::need_of(const route& configured, const std::vector<call_edge>& calls) const
+{
+    std::map<service_name, double> need;
+    for (const auto& [callee, count] : expected_calls(configured.name, calls))
+        if (const auto* called = table_.find(callee))
+            for (const auto& [service, share] : cost_input_of(*called).targets)
+                need[service] += count * share;
+    for (const auto& target : configured.targets)
+        need[target.service] = 1;
+    for (auto& [service, probability] : need)
+        probability = std::min(probability, 1.0);
+    return need;
+}
+
+// The route's own target is left to the placement: a request is refused there before it
+// has cost anything.
+bool fleet_view::lacks_server(const route& configured,
+                              const std::vector<call_edge>& calls) const
+{
+    double without_server = 0;
+    for (const auto& [callee, count] : expected_calls(configured.name, calls))
+    {
+        const auto* called = table_.find(callee);
+        if (!called)
+            continue;
+        for (const auto& [service, share] : cost_input_of(*called).targets)
+            if (lacks_server(service))
+                without_server += count * share;
+    }
+    return without_server > max_calls_without_server;
+}
+
 route_cost_input fleet_view::cost_input_of(const route& configured) const
 {
     route_cost_input input;
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -22,6 +22,13 @@
     {
     }
 
+    /// Sets the services of which a server was available before. Only their lack of a
+    /// server is certain: those of other services may not have been heard of yet.
+    void set_known_services(std::set<service_name> services)
+    {
+        known_services_ = std::move(services);
+    }
+
     /// Adds the report of a node. Expired reports are ignored.
     void add(const node_report_message& report, time_point report_time);
 
@@ -33,6 +40,9 @@
     std::vector<class_demand> demands(const std::set<route_name>& called,
                                       const std::vector<call_edge>& calls) const;
 
+    /// Returns the services of which a server is available.
+    std::set<service_name> available_services() const;
+
     /// Returns the capacity of each service, corrected for its queueing delay.
     service_capacity
     capacity(std::map<service_name, capacity_correction>& corrections) const;
@@ -57,10 +67,15 @@
     };
 
     route_cost_input cost_input_of(const route& configured) const;
+    std::map<service_name, double> need_of(const route& configured,
+                                           const std::vector<call_edge>& calls) const;
+    bool lacks_server(const service_name& service) const;
+    bool lacks_server(const route& configured, const std::vector<call_edge>& calls) const;
 
     const route_table& table_;
     time_point now_;
     std::vector<call_edge> initial_edges_;
+    std::set<service_name> known_services_;
     std::map<admission_class, double> arrivals_;
     std::map<route_name, weighted_mean> slot_ms_;
     std::map<route_name, double>
--- a/src/gateway/fleet_view_test.cpp
+++ b/src/gateway/fleet_view_test.cpp
@@ -65,3 +65,38 @@
     std::map<service_name, capacity_correction> corrections;
     cr_expect(fleet.capacity(corrections).empty());
 }
+
+// When a failure domain is cut off from all servers of a deep service, the requests that
+// call it must be refused at the entry, not fail after they have run for a while.
+Test(fleet_view, refuses_requests_whose_calls_lack_a_server)
+{
+    auto config = table_with({"browse", "rates", "lookup"}).config();
+    config.routes[0].targets = {{service_name("menu"), 1}};
+    const route_table table(config);
+    const std::vector<call_edge> calls{{route_name("browse"), route_name("rates"), 4}};
+    fleet_view fleet(table, now);
+    fleet.set_known_services({service_name("menu"), service_name("prices")});
+    fleet.add(
+        report_of("menu", {{route_name("browse"), 20, 0}, {route_name("lookup"), 5, 0}}),
+        now);
+    std::map<service_name, capacity_correction> corrections;
+    const auto shares = admitted_shares(fleet.demands({route_name("rates")}, calls),
+                                        fleet.capacity(corrections));
+    cr_expect_eq(shares.at({route_name("browse"), false}), 0);
+    cr_expect_eq(shares.at({route_name("lookup"), false}), 1);
+}
+
+// A process that has just started has not heard of all servers yet; it must not refuse
+// what other nodes can place.
+Test(fleet_view, admits_calls_to_services_not_heard_of_yet)
+{
+    auto config = table_with({"browse", "rates"}).config();
+    config.routes[0].targets = {{service_name("menu"), 1}};
+    const route_table table(config);
+    const std::vector<call_edge> calls{{route_name("browse"), route_name("rates"), 4}};
+    fleet_view fleet(table, now);
+    fleet.add(report_of("menu", {{route_name("browse"), 20, 0}}), now);
+    const auto demands = fleet.demands({route_name("rates")}, calls);
+    cr_assert_eq(demands.size(), 1U);
+    cr_expect_not(demands[0].lacks_server);
+}
--- a/src/gateway/request_router_answers.cpp
+++ b/src/gateway/request_router_answers.cpp
@@ -128,18 +128,11 @@
 request_router::downstream_calls(const route_name& route) const
 {
     std::map<service_name, double> calls;
-    std::vector<std::pair<route_name, double>> pending{{route, 1.0}};
-    for (std::size_t i = 0; i < pending.size() && i < max_call_depth; ++i)
+    for (const auto& [callee, count] : expected_calls(route, edges_))
     {
-        const auto [from, runs] = pending[i];
-        for (const auto& edge : edges_)
-        {
-            const auto* callee = table_ ? table_->find(edge.to) : nullptr;
-            if (edge.from != from || !callee || callee->targets.empty())
-                continue;
-            calls[callee->targets.front().service] += runs * edge.calls_per_run;
-            pending.emplace_back(edge.to, runs * edge.calls_per_run);
-        }
+        const auto* configured = table_ ? table_->find(callee) : nullptr;
+        if (configured && !configured->targets.empty())
+            calls[configured->targets.front().service] += count;
     }
     return calls;
 }
--- a/src/gateway/request_router_shares.cpp
+++ b/src/gateway/request_router_shares.cpp
@@ -87,6 +87,7 @@
     }
     retry_budget_.set_node_count(peers_.all().size() + 1);
     fleet_view fleet(*table_, now, initial_edges_);
+    fleet.set_known_services(known_services_);
     origins_.begin_update(seconds);
     node_report_message own;
     executor_.fill_report(own);
@@ -102,6 +103,7 @@
         origins_.add_report(other.report);
     }
     origins_.end_update();
+    known_services_.merge(fleet.available_services());
     edges_ = fleet.edges();
     const auto demands = fleet.demands(origins_.called_routes(), edges_);
     const auto capacity = fleet.capacity(corrections_);
--- a/src/include/fescueridge/gateway/admission_plan.hpp
+++ b/src/include/fescueridge/gateway/admission_plan.hpp
@@ -37,6 +37,10 @@
     priority rank;
     double arrivals_per_s = 0;
     service_costs costs;
+    /// Probability that a request needs the service at all; 1 for services not listed.
+    std::map<service_name, double> need;
+    /// Its calls need a service of which no server is available, so it can't succeed.
+    bool lacks_server = false;
 };
 
 /// Slot time that each service can provide, in milliseconds per second.
@@ -46,6 +50,8 @@
 /// call tree stays within that service's capacity. Capacity is allocated by priority, the
 /// most important first, and within one priority to new requests before client retries.
 /// Classes at the same level share the remaining capacity in proportion to their demand.
+/// A class whose requests need a service only at times is not held back by it beyond that
+/// part. Nothing is admitted of a class that lacks a server, and it takes no capacity.
 ///
 /// Handles surges in which a service deep in the call graph runs out of slots: rejecting
 /// a call there wastes the work already done by the services above it.
--- a/src/include/fescueridge/gateway/request_router.hpp
+++ b/src/include/fescueridge/gateway/request_router.hpp
@@ -3,6 +3,7 @@
 #include <asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -141,6 +142,7 @@
     std::map<service_name, capacity_correction> corrections_;
     std::vector<call_edge> edges_;
     std::vector<call_edge> initial_edges_;
+    std::set<service_name> known_services_; ///< Of which a server was available.
     origin_tracker origins_;
     struct arrival_meter
     {
