Compute the shares less often in larger fleets

Each node added up the reports of all others every 100 ms, although each of them comes every 0.7 s at most in a large fleet. And the logs said nothing about the learned calls while everything was admitted, so a wrong estimate could not be seen before it did harm.

Shares are computed every 2 ms per peer, from 95 to 300 ms; the moving average and the correction of the capacity follow the time that has passed, at most 300 ms after a pause. The line about shares is written every 10 s while everything is admitted.

Unit tests of gateway pass.

--- a/src/gateway/admission_plan.cpp
+++ b/src/gateway/admission_plan.cpp
@@ -1,6 +1,7 @@
 #include "fescueridge/gateway/admission_plan.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace fescueridge::gateway
 {
@@ -109,7 +110,7 @@
     return true;
 }
 
-double capacity_correction::update(double wait_share, double use)
+double capacity_correction::update(double wait_share, double use, double steps)
 {
     // Far below 1, because requests with several sequential calls wait at each of them.
     constexpr double target_wait_share = 0.12;
@@ -125,14 +126,13 @@
     constexpr double min_factor = 0.5;
     constexpr double max_factor = 1;
     const double excess_wait_share = wait_share - target_wait_share;
+    double change = increase_factor;
     if (excess_wait_share > 0)
-        factor_ *=
-            1 - std::min(max_decrease, decrease_per_wait_share * excess_wait_share);
+        change = 1 - std::min(max_decrease, decrease_per_wait_share * excess_wait_share);
     else if (wait_share < low_wait_share)
-        factor_ *=
+        change =
             use < free_slots_use ? free_slots_increase_factor : low_wait_increase_factor;
-    else
-        factor_ *= increase_factor;
+    factor_ *= std::pow(change, steps);
     factor_ = std::clamp(factor_, min_factor, max_factor);
     return factor_;
 }
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -142,14 +142,15 @@
 }
 
 service_capacity
-fleet_view::capacity(std::map<service_name, capacity_correction>& corrections) const
+fleet_view::capacity(std::map<service_name, capacity_correction>& corrections,
+                     double steps) const
 {
     constexpr double ms_per_s = 1000;
     service_capacity result;
     for (const auto& [service, state] : services_)
     {
-        const double factor = corrections[service].update(state.wait_share.value(),
-                                                          state.running / state.limit);
+        const double factor = corrections[service].update(
+            state.wait_share.value(), state.running / state.limit, steps);
         result[service] = state.limit * ms_per_s * factor;
     }
     return result;
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -43,9 +43,10 @@
     /// Returns the services of which a server is available.
     std::set<service_name> available_services() const;
 
-    /// Returns the capacity of each service, corrected for its queueing delay.
-    service_capacity
-    capacity(std::map<service_name, capacity_correction>& corrections) const;
+    /// Returns the capacity of each service, corrected for its queueing delay. `steps` is
+    /// the time since the last call, in steps of the correction.
+    service_capacity capacity(std::map<service_name, capacity_correction>& corrections,
+                              double steps = 1) const;
 
 private:
     struct weighted_mean
--- a/src/gateway/request_router_shares.cpp
+++ b/src/gateway/request_router_shares.cpp
@@ -1,6 +1,7 @@
 #include "fescueridge/gateway/request_router.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <fmt/format.h>
 
 #include "fleet_view.hpp"
@@ -10,13 +11,26 @@
 namespace
 {
 
-/// Weight of a new sample in the moving average of arrivals. With a sample every 100 ms
-/// it covers about the last 300 ms.
+/// Fraction of the moving average of arrivals that is replaced in 100 ms: it covers about
+/// the last 300 ms.
 constexpr double arrival_weight = 0.3;
 
-/// Minimum time between log lines about shares. While everything is admitted, only the
-/// first line is written.
+/// Time between two computations of the shares. Each adds up the reports of all peers,
+/// which come more rarely in a large fleet.
+constexpr milliseconds min_update_interval{95};
+constexpr milliseconds max_update_interval{300};
+constexpr milliseconds update_interval_per_peer{2};
+
+milliseconds update_interval(std::size_t peers)
+{
+    const auto wanted = update_interval_per_peer * static_cast<std::int64_t>(peers);
+    return std::clamp(wanted, min_update_interval, max_update_interval);
+}
+
+/// Minimum time between log lines about shares while some requests are shed, and while
+/// everything is admitted.
 constexpr milliseconds shares_line_interval{1'000};
+constexpr milliseconds all_admitted_line_interval{10'000};
 
 } // namespace
 
@@ -34,12 +48,6 @@
         for (const auto& [service, ms] : demand.costs)
             required_ms_per_s[service] += demand.arrivals_per_s * ms;
     }
-    const bool all_admitted =
-        std::all_of(shares.begin(), shares.end(),
-                    [](const auto& share) { return share.second >= 1; });
-    if (all_admitted && std::exchange(logged_all_admitted_, true))
-        return;
-    logged_all_admitted_ = all_admitted;
     std::string services;
     for (const auto& [service, ms] : capacity)
         services += fmt::format("{} need {:.0f} of {:.0f} ms/s, capacity factor {:.2f}; ",
@@ -76,13 +84,21 @@
 void request_router::update_shares()
 {
     const auto now = clock::now();
-    const double seconds = static_cast<double>((now - last_update_).count()) / 1000;
+    const auto elapsed = now - last_update_;
+    if (elapsed < update_interval(peers_.all().size()))
+        return;
+    const double seconds = static_cast<double>(elapsed.count()) / 1000;
     last_update_ = now;
-    if (seconds <= 0 || !table_)
+    if (!table_)
         return;
+    // After a pause of the process, the waits do not show how long the load lasted.
+    const auto covered = std::min(elapsed, max_update_interval);
+    const double steps =
+        static_cast<double>(covered.count()) / 1000 / capacity_correction::step_s;
+    const double weight = 1 - std::pow(1 - arrival_weight, steps);
     for (auto& [request_class, meter] : arrivals_)
     {
-        meter.per_s += arrival_weight * (meter.count / seconds - meter.per_s);
+        meter.per_s += weight * (meter.count / seconds - meter.per_s);
         meter.count = 0;
     }
     retry_budget_.set_node_count(peers_.all().size() + 1);
@@ -106,11 +122,16 @@
     known_services_.merge(fleet.available_services());
     edges_ = fleet.edges();
     const auto demands = fleet.demands(origins_.called_routes(), edges_);
-    const auto capacity = fleet.capacity(corrections_);
+    const auto capacity = fleet.capacity(corrections_, steps);
     auto shares = admitted_shares(demands, capacity);
-    if (now >= next_shares_log_)
+    const bool all_admitted =
+        std::all_of(shares.begin(), shares.end(),
+                    [](const auto& share) { return share.second >= 1; });
+    const auto line_interval =
+        all_admitted ? all_admitted_line_interval : shares_line_interval;
+    if (now >= last_shares_log_ + line_interval)
     {
-        next_shares_log_ = now + shares_line_interval;
+        last_shares_log_ = now;
         log_shares(demands, capacity, shares);
     }
     shedder_.set_shares(std::move(shares));
--- a/src/include/fescueridge/gateway/admission_plan.hpp
+++ b/src/include/fescueridge/gateway/admission_plan.hpp
@@ -80,12 +80,15 @@
 class capacity_correction
 {
 public:
-    /// Updates and returns the factor for the capacity; call it every 100 ms.
-    /// `wait_share` is the mean wait for a slot as a fraction of the target latency,
-    /// `use` the fraction of the slots in use. The factor changes slowly compared to the
-    /// time from the admission of a request to its calls at deep services, which avoids
-    /// oscillation.
-    double update(double wait_share, double use);
+    /// Time that one step of the correction stands for, in seconds.
+    static constexpr double step_s = 0.1;
+
+    /// Updates and returns the factor for the capacity; `steps` is the time since the
+    /// last update, in steps. `wait_share` is the mean wait for a slot as a fraction of
+    /// the target latency, `use` the fraction of the slots in use. The factor changes
+    /// slowly compared to the time from the admission of a request to its calls at deep
+    /// services, which avoids oscillation.
+    double update(double wait_share, double use, double steps = 1);
 
     double factor() const noexcept { return factor_; }
 
--- a/src/include/fescueridge/gateway/request_router.hpp
+++ b/src/include/fescueridge/gateway/request_router.hpp
@@ -152,8 +152,7 @@
     std::map<admission_class, arrival_meter> arrivals_;
     client_retry_detector client_retries_;
     time_point last_update_{};
-    time_point next_shares_log_{};
-    bool logged_all_admitted_ = false; ///< Logged in the last line about shares.
+    time_point last_shares_log_{};
     failure_rate own_failure_rate_;
     router_counters counters_;
     request_latencies latencies_;
