Leave slot times that include a pause out of the means

Each run under way during the pause seemed to have held its slot for 4 s.

The executor notices a gap of over 0.5 s between two of its own steps, writes process_paused, leaves the slot times of the runs under way out of the means and starts the time without an answer anew.

Result. ignores_slot_times_that_include_a_pause failed before.

--- a/src/gateway/decision_log.cpp
+++ b/src/gateway/decision_log.cpp
@@ -64,6 +64,8 @@
         return "link_fault";
     case log_event::server_changed:
         return "server_changed";
+    case log_event::process_paused:
+        return "process_paused";
     case log_event::server_rate_changed:
         return "server_rate_changed";
     case log_event::announcement_unusable:
--- a/src/gateway/run_executor.cpp
+++ b/src/gateway/run_executor.cpp
@@ -35,6 +35,9 @@
 constexpr milliseconds health_check_interval{300};
 constexpr milliseconds health_check_timeout{500};
 
+/// The process polls every 50 ms; a longer gap means that it was paused or held up.
+constexpr milliseconds max_activity_gap{500};
+
 /// Bytes of incomplete answers of the server, on all connections together.
 constexpr std::size_t max_buffered_answers = std::size_t{32} * 1024 * 1024;
 
@@ -385,8 +388,24 @@
         run_entry.handle.cancel();
 }
 
+// What seems to have taken long during a pause of this process says nothing about the
+// server.
+void run_executor::check_for_pause()
+{
+    const auto now = clock::now();
+    const auto before = std::exchange(last_active_, now);
+    if (before == time_point{} || now - before <= max_activity_gap)
+        return;
+    decisions_.record(log_event::process_paused,
+                      {{"paused_ms", static_cast<std::int64_t>((now - before).count())},
+                       {"running", std::int64_t{queue_.running()}}});
+    queue_.skip_samples();
+    last_answer_ = now;
+}
+
 void run_executor::poll()
 {
+    check_for_pause();
     const auto now = clock::now();
     start_and_drop(queue_.poll(now));
     handle_server_change(tracker_.poll(now), "heartbeats_missing");
--- a/src/gateway/run_executor_answers.cpp
+++ b/src/gateway/run_executor_answers.cpp
@@ -9,6 +9,7 @@
 
 void run_executor::on_result(run_number number, http_result result)
 {
+    check_for_pause();
     const auto found = runs_.find(number);
     if (found == runs_.end())
         return;
--- a/src/gateway/run_queue.cpp
+++ b/src/gateway/run_queue.cpp
@@ -168,13 +168,19 @@
     return next;
 }
 
+void run_queue::skip_samples()
+{
+    for (auto& [number, run] : running_)
+        run.sampled = false;
+}
+
 dequeued_runs run_queue::finish(run_number number, time_point now, bool sample)
 {
     dequeued_runs dequeued;
     const auto found = running_.find(number);
     if (found == running_.end())
         return dequeued;
-    if (sample)
+    if (sample && found->second.sampled)
     {
         const double ms = to_ms(now - found->second.since);
         double& route_slot_ms = slot_ms_by_route_[found->second.route];
--- a/src/gateway/run_queue_test.cpp
+++ b/src/gateway/run_queue_test.cpp
@@ -51,6 +51,22 @@
     cr_expect_eq(queue.running(), 3U);
 }
 
+// After a pause of the process, each run under way seems to have held its slot for as
+// long as the pause. Such a time made the server look too slow to be used, so that it was
+// never measured again.
+Test(run_queue, ignores_slot_times_that_include_a_pause)
+{
+    run_queue queue(3);
+    record_slot_time(queue);
+    queue.offer(make_offer(1, 300, 9'000, start), start);
+    queue.skip_samples();
+    queue.finish(run_number(1), start + milliseconds{4'000});
+    cr_expect_float_eq(queue.slot_ms(), 20, 1e-9);
+    queue.offer(make_offer(2, 300, 9'000, start), start + milliseconds{4'000});
+    queue.finish(run_number(2), start + milliseconds{4'040});
+    cr_expect_gt(queue.slot_ms(), 20);
+}
+
 // A lookup with a short target latency must not wait behind calls with longer ones.
 Test(run_queue, starts_requests_by_earliest_target)
 {
--- a/src/include/fescueridge/gateway/decision_log.hpp
+++ b/src/include/fescueridge/gateway/decision_log.hpp
@@ -31,6 +31,7 @@
     link_fault,
     server_changed,
     server_rate_changed,
+    process_paused,
     announcement_unusable,
     shares_changed,
     request_rejected,
--- a/src/include/fescueridge/gateway/run_executor.hpp
+++ b/src/include/fescueridge/gateway/run_executor.hpp
@@ -132,6 +132,7 @@
     void handle_server_change(server_change change, const std::string& cause);
     void start_run(run_number number);
     void on_result(run_number number, http_result result);
+    void check_for_pause();
     void on_answer(run_number number, http_response answer);
     void on_failure(run_number number, const http_failure& failure);
     void finish_run(run_number number, forward_reply_message reply, bool sample);
@@ -168,6 +169,7 @@
     std::string health_path_;
     std::uint32_t max_connections_ = 0;
     time_point last_answer_{};
+    time_point last_active_{}; ///< Of the last sign that this process was not paused.
     time_point next_health_check_{};
     bool answered_ = false; ///< This start of the server has answered this process.
     bool health_check_running_ = false;
--- a/src/include/fescueridge/gateway/run_queue.hpp
+++ b/src/include/fescueridge/gateway/run_queue.hpp
@@ -75,6 +75,10 @@
     /// Ends a running request. Its slot time is added to the means when `sample` is set.
     dequeued_runs finish(run_number number, time_point now, bool sample = true);
 
+    /// Leaves the slot times of all running requests out of the means, because this
+    /// process was paused while they ran.
+    void skip_samples();
+
     /// Removes a waiting or running request without recording its slot time.
     dequeued_runs cancel(run_number number, time_point now);
 
@@ -134,6 +138,7 @@
     {
         route_name route;
         time_point since;
+        bool sampled = true; ///< Its slot time counts for the means.
     };
     struct order_key
     {
