--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 TYPE ?= RelWithDebInfo
 
-.PHONY: all packages configure build test check-spec demo bench capacity soak gateway-soak fuzz format lint clean
+.PHONY: all packages configure build test check-spec demo bench capacity soak gateway-soak fleet-cost fuzz format lint clean
 
 all: build
 
@@ -54,6 +54,11 @@
 	@python3 platform/testsuite/gateway_soak/soak.py $(BUILD) --seconds $(SECONDS) \
 		--seed $(SEED) --copies $(COPIES)
 
+# make fleet-cost NODES="30 90": what a calm fleet of gateway nodes costs each node
+NODES ?= 10 30 90
+fleet-cost: build
+	@python3 platform/testsuite/fleet_cost/fleet_cost.py $(BUILD) --nodes $(NODES)
+
 # make fuzz INPUTS=1000000 SEED=3: mutated input for every reader of messages and files
 INPUTS ?= 100000
 fuzz: build
