Weigh the candidates of a call once per route

The weight of a route was looked up three times for each running run on each call of the server; it is computed once per route now. No change of behaviour: the unit tests of the estimator give the same estimates. Two comments of the estimator are reworded.

--- a/src/gateway/call_graph.cpp
+++ b/src/gateway/call_graph.cpp
@@ -262,27 +262,25 @@
     return std::max(min_calls_per_run, attributed_rate(route, callee));
 }
 
-std::map<priority, double>
-call_graph_estimator::weights_by_rank(const route_name& callee,
-                                      const std::vector<possible_parent>& runs) const
-{
-    std::map<priority, double> by_rank;
-    for (const auto& run : runs)
-        by_rank[run.rank] += weight_of(run.route, callee);
-    return by_rank;
-}
-
 std::optional<priority>
 call_graph_estimator::distribute(const route_name& callee,
                                  const std::vector<possible_parent>& candidates)
 {
+    std::map<route_name, double> weights;
+    std::map<priority, double> by_rank;
     double total = 0;
     for (const auto& run : candidates)
-        total += weight_of(run.route, callee);
+    {
+        const auto [found, added] = weights.try_emplace(run.route);
+        if (added)
+            found->second = weight_of(run.route, callee);
+        by_rank[run.rank] += found->second;
+        total += found->second;
+    }
     for (const auto& run : candidates)
         if (const auto found = open_.find(run.number); found != open_.end())
-            found->second.calls[callee].expected += weight_of(run.route, callee) / total;
-    return most_likely_priority(weights_by_rank(callee, candidates));
+            found->second.calls[callee].expected += weights.at(run.route) / total;
+    return most_likely_priority(by_rank);
 }
 
 void call_graph_estimator::add_evidence(const route_name& callee,
@@ -298,9 +296,7 @@
 void call_graph_estimator::decay()
 {
     for (auto& [callee, timeouts] : timeouts_)
-    {
         timeouts.decay();
-    }
     for (auto& [route, count] : runs_)
     {
         if (is_held(route))
--- a/src/include/fescueridge/gateway/call_graph.hpp
+++ b/src/include/fescueridge/gateway/call_graph.hpp
@@ -32,8 +32,9 @@
 /// measured from attributed calls.
 ///
 /// Where callers vary their timeouts by themselves, many shorter calls end with no run.
-/// Only calls with much less than the usual timeout count as shortened then, and matches
-/// count less those in a control window, which are chance.
+/// Only calls with much less than the usual timeout count as shortened then. Runs that
+/// end with a call by chance are measured in a control window shortly after it and
+/// subtracted.
 ///
 /// Only completed runs are counted, with all calls that they made. Under overload many
 /// runs end before their last calls, and at the start of a load most runs are still in
@@ -41,8 +42,8 @@
 /// of its requests.
 ///
 /// While a notable part of the runs of a route fails, its estimates are held: a call that
-/// can't be attributed is distributed over all running runs, so the failing ones, which
-/// run longest, would take the calls of the completed ones with them.
+/// cannot be attributed is distributed over all running runs, and the failing ones, which
+/// run longest, would take part of the calls of the completed ones with them.
 class call_graph_estimator
 {
 public:
@@ -101,9 +102,6 @@
     bool is_held(const route_name& route) const;
     double weight_of(const route_name& route, const route_name& callee) const;
     void reweigh_once(const route_name& callee);
-    std::map<priority, double>
-    weights_by_rank(const route_name& callee,
-                    const std::vector<possible_parent>& runs) const;
     std::optional<priority> distribute(const route_name& callee,
                                        const std::vector<possible_parent>& candidates);
     void add_evidence(const route_name& callee, const std::vector<possible_parent>& runs,
@@ -113,7 +111,7 @@
     std::map<route_name, double> runs_; ///< Completed runs.
     std::map<route_name, failure_rate> failures_;
     counts calls_;
-    counts attributed_calls_; ///< Evidence of the completed runs.
+    counts attributed_calls_; ///< Sum of made_calls::evidence.
     std::map<route_name, callee_timeouts> timeouts_;
     std::set<route_name> reweighed_; ///< Callees whose early calls are corrected.
 };
