--- a/review/standins/machines.py
+++ b/review/standins/machines.py
@@ -317,7 +317,7 @@
     }
 
 
-def config(version, routes, services, header_timeout_s):
+def config(version, routes, services, limits):
     return json.dumps(
         {
             "version": f"{version:08x}",
@@ -325,12 +325,7 @@
             "services": {
                 name: {"health_path": "/health", "max_connections": 200} for name in services
             },
-            "limits": {
-                "max_header_bytes": 16384,
-                "max_body_bytes": 1 << 20,
-                "header_timeout_s": header_timeout_s,
-                "idle_timeout_s": 15,
-            },
+            "limits": limits,
         }
     ).encode()
 
@@ -339,7 +334,7 @@
     """Nodes with servers of the given services, in three zones by turns."""
 
     def __init__(
-        self, case_folder, services, routes, slots=16, server_type=None, header_timeout_s=3
+        self, case_folder, services, routes, slots=16, server_type=None, **limits
     ):
         self.record = Record(case_folder)
         self.scratch = tempfile.TemporaryDirectory(prefix="review-")
@@ -348,13 +343,19 @@
         self.routes = routes
         self.slots = slots
         self.server_type = server_type or Server
-        self.header_timeout_s = header_timeout_s
+        self.limits = {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1 << 20,
+            "header_timeout_s": 3,
+            "idle_timeout_s": 15,
+            **limits,
+        }
         self.next_id = 0
 
     async def start(self):
         self.log = StandinLog()
         await self.log.start()
-        first = config(7, self.routes, set(self.services), self.header_timeout_s)
+        first = config(7, self.routes, set(self.services), self.limits)
         self.log.put("keyed.op", "config", first)
         self.servers = []
         self.nodes = []
