--- a/review/standins/machines.py
+++ b/review/standins/machines.py
@@ -64,10 +64,8 @@
         self.port = free_port()
         self.node = None
         self.state = "ready"
-        self.answers = True
         self.seen = []  # (time, instance, request id) of what came in, without health checks
         self.runs = {}  # request id: number of runs
-        self.done = set()  # requests whose answers were written
         self.writers = set()
         self.tasks = set()
         self.beating = None
@@ -77,7 +75,7 @@
         self.on_run = None  # called before a request works; may end this server
         self.up = False
 
-    async def start(self, first_beat_after_s=0.0):
+    async def start(self):
         self.starts += 1
         self.instance = f"i-{self.name}-{self.starts}"
         self.born = int(time.time() * 1000)
@@ -88,7 +86,7 @@
             self.serve, "127.0.0.1", self.port, reuse_address=True
         )
         self.record.line(f"server {self.name} starts as {self.instance}")
-        self.beating = asyncio.create_task(self.beat(first_beat_after_s))
+        self.beating = asyncio.create_task(self.beat())
 
     async def stop(self, word="ends"):
         """Ends the process: connections are reset, the port refuses."""
@@ -103,8 +101,7 @@
         for task in list(self.tasks):
             task.cancel()
 
-    async def beat(self, pause):
-        await asyncio.sleep(pause)
+    async def beat(self):
         while True:
             await self.heartbeat()
             await asyncio.sleep(HEARTBEAT_S)
@@ -124,9 +121,10 @@
             "born": self.born,
         }
         if delay_s:
-            self.record.line(f"server {self.name} sends heartbeat {self.sequence}, state {self.state}")
+            name = f"heartbeat {self.sequence} of server {self.name}"
+            self.record.line(f"{name} is sent, state {self.state}")
             await asyncio.sleep(delay_s)
-            self.record.line(f"heartbeat {self.sequence} of server {self.name} arrives")
+            self.record.line(f"{name} arrives")
         return await self.tell("instances.heartbeat", body)
 
     async def deregister(self, names_start=True):
@@ -143,10 +141,9 @@
 
     async def tell(self, name, body):
         target = f"/v1/rpc?call={name}&of={self.instance}"
+        data = json.dumps(body).encode() if body else b""
         try:
-            answer = await exchange(
-                self.node.control, "POST", target, json.dumps(body).encode() if body else b"", timeout=1
-            )
+            answer = await exchange(self.node.control, "POST", target, data, timeout=1)
             return answer is not None and answer[0] // 100 == 2
         except (OSError, asyncio.TimeoutError):
             return False
@@ -193,11 +190,8 @@
         if not await self.work(request, reader):
             self.record.line(f"server {self.instance} drops {number}: connection closed")
             return False
-        if not self.answers:
-            return False
         body = self.body(request)
         writer.write(response(200, body, echo + [("Server-Stamp", f"stamp-{self.instance}")]))
-        self.done.add(number)
         self.record.line(f"server {self.instance} has answered {number}")
         return not leaving
 
