--- a/review/3/case.py
+++ b/review/3/case.py
@@ -6,7 +6,7 @@
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "standins"))
+sys.path.insert(0, str(FOLDER.parent))
 from machines import BROKEN, CONTACT_S, DRAIN_S, HEARTBEAT_S, HELD, NOT_RUN  # noqa: E402
 from machines import Fleet, route, run_case, trouble  # noqa: E402
 
--- a/review/standins/machines.py
+++ b/review/machines.py
@@ -17,7 +17,7 @@
 import tempfile
 import time
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "testsuite"))
 sys.path.insert(0, str(ROOT / "platform" / "testsuite"))
 from fleet import free_port  # noqa: E402
