Answer every request before a stopped gateway node ends

Cause: check_stop() stopped the io context 0.9 s before the kill, with whatever was open. What waits in a queue can be taken back, and was not. Change: a schedule of the stop (stop_schedule, scaled with the grace). Before the end the node recalls the requests that wait, from its own queue and from those of peers (forward_recall_message); they are rejected as not run. Then the others get 502, which promises nothing, and the process ends when the answers are written. A node that still writes answers is not idle.

--- a/src/codec/gateway_codec.cpp
+++ b/src/codec/gateway_codec.cpp
@@ -204,6 +204,16 @@
     return {in.unsigned64()};
 }
 
+void append_fields(json& out, const forward_recall_message& m)
+{
+    append(out, m.number);
+}
+
+forward_recall_message read_forward_recall(field_reader& in)
+{
+    return {in.unsigned64()};
+}
+
 void append_fields(json& out, const node_report_message& m)
 {
     json calls = json::array();
--- a/src/codec/gateway_codec.hpp
+++ b/src/codec/gateway_codec.hpp
@@ -8,6 +8,7 @@
 void append_fields(json& out, const forward_message& m);
 void append_fields(json& out, const forward_reply_message& m);
 void append_fields(json& out, const forward_cancel_message& m);
+void append_fields(json& out, const forward_recall_message& m);
 void append_fields(json& out, const node_report_message& m);
 void append_fields(json& out, const config_pull_message& m);
 void append_fields(json& out, const config_push_message& m);
@@ -18,6 +19,7 @@
 forward_message read_forward(field_reader& in);
 forward_reply_message read_forward_reply(field_reader& in);
 forward_cancel_message read_forward_cancel(field_reader& in);
+forward_recall_message read_forward_recall(field_reader& in);
 node_report_message read_node_report(field_reader& in);
 config_pull_message read_config_pull(field_reader& in);
 config_push_message read_config_push(field_reader& in);
--- a/src/codec/gateway_codec_test.cpp
+++ b/src/codec/gateway_codec_test.cpp
@@ -112,6 +112,7 @@
     cr_assert(own.max_rate.has_value());
     cr_expect_float_eq(own.max_rate->get(), 12.5, 1e-9);
     cr_expect_eq(round_trip(forward_cancel_message{42}).number, 42U);
+    cr_expect_eq(round_trip(forward_recall_message{43}).number, 43U);
 }
 
 // Guards against a frame of another version or with spoiled bytes ending the process.
--- a/src/codec/messages.cpp
+++ b/src/codec/messages.cpp
@@ -41,7 +41,8 @@
     config_push,
     known_nodes,
     suspect,
-    own_server
+    own_server,
+    forward_recall
 };
 
 json levels_to_array(const std::vector<admission_level>& levels)
@@ -93,6 +94,10 @@
 {
     return frame_type::own_server;
 }
+frame_type gateway_frame_type(const forward_recall_message&)
+{
+    return frame_type::forward_recall;
+}
 
 /// Appends the type and the fields of a message to a frame.
 struct encoder
@@ -378,6 +383,8 @@
         return read_suspect(in);
     case frame_type::own_server:
         return read_own_server(in);
+    case frame_type::forward_recall:
+        return read_forward_recall(in);
     default:
         return read_control_message(type, in);
     }
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -8,6 +8,7 @@
 #include "fescueridge/gateway/cluster_records.hpp"
 #include "fescueridge/gateway/report_schedule.hpp"
 #include "fescueridge/gateway/request_router.hpp"
+#include "fescueridge/gateway/stop_schedule.hpp"
 #include "fescueridge/gateway/topic_follower.hpp"
 #include "metrics_text.hpp"
 
@@ -20,16 +21,6 @@
 constexpr milliseconds shares_interval{100};
 constexpr milliseconds decay_interval{1'000};
 
-/// Time after the stop signal for which the node still accepts client requests. Readiness
-/// is checked once per second, and two failed checks take the node out of service. Later
-/// client requests are rejected with a Retry-After, because the process may end before
-/// they complete.
-constexpr milliseconds min_stop_time{2'600};
-
-/// Time before the kill at which the process ends even if requests are running. A slow VM
-/// needs this time to close its connections.
-constexpr milliseconds kill_margin{900};
-
 /// Interval at which one node stores the estimated calls, so that they survive a restart
 /// of all nodes.
 constexpr milliseconds store_interval{5'000};
@@ -67,6 +58,7 @@
 
     void on_forward(const link_ptr& from, forward_message message);
     void on_cancel(const link_ptr& from, std::uint64_t number);
+    void on_recall(const link_ptr& from, std::uint64_t number);
     void on_link_closed(const link_ptr& closed);
     void on_report(const peer& from);
 
@@ -97,6 +89,7 @@
     report_schedule report_schedule_{clock::now()};
     bool report_pending_ = false;
     time_point next_config_pull_{};
+    const stop_schedule stop_schedule_;
     std::optional<time_point> stopping_since_;
     bool finished_ = false;
 };
@@ -113,7 +106,8 @@
                  }}),
       peers_(io, settings_, events_, decisions_, make_peer_callbacks()),
       router_(io, settings_, wire, decisions_, peers_, executor_),
-      records_(io, settings_, log, decisions_, peers_.self(), make_cluster_callbacks())
+      records_(io, settings_, log, decisions_, peers_.self(), make_cluster_callbacks()),
+      stop_schedule_(stop_schedule::for_grace(settings_.bounds.grace))
 {
     events_.echo(false);
     http_server_options request_server_options;
@@ -195,6 +189,11 @@
     {
         on_cancel(from, message.number);
     };
+    callbacks.on_recall =
+        [this](const link_ptr& from, const forward_recall_message& message)
+    {
+        on_recall(from, message.number);
+    };
     callbacks.on_link_closed = [this](const link_ptr& closed)
     {
         on_link_closed(closed);
@@ -381,6 +380,13 @@
     executor_.cancel(run);
 }
 
+void gateway_node::impl::on_recall(const link_ptr& from, std::uint64_t number)
+{
+    const auto found = remote_runs_.find({from.get(), number});
+    if (found != remote_runs_.end())
+        executor_.recall(found->second);
+}
+
 // Cancels the runs of the closed link, because their answers cannot be delivered.
 void gateway_node::impl::on_link_closed(const link_ptr& closed)
 {
@@ -464,11 +470,17 @@
     if (!stopping_since_)
         return;
     const auto passed = clock::now() - *stopping_since_;
-    if (passed >= min_stop_time)
+    if (passed >= stop_schedule_.reject_clients)
         router_.reject_clients();
+    if (passed >= stop_schedule_.recall_waiting)
+        router_.recall_waiting();
+    if (passed >= stop_schedule_.answer_all)
+        router_.answer_all();
     const bool idle = router_.open_requests() == 0 && executor_.open_runs() == 0;
-    const bool out_of_time = passed >= settings_.bounds.grace - kill_margin;
-    if (out_of_time || (idle && passed >= min_stop_time))
+    const bool answers_written = request_server_->open_exchanges() == 0;
+    const bool out_of_time =
+        passed >= (answers_written ? stop_schedule_.answer_all : stop_schedule_.end);
+    if (out_of_time || (idle && passed >= stop_schedule_.reject_clients))
         finish_stop();
 }
 
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -201,6 +201,7 @@
         overloaded{[&](forward_message& m) { callbacks_.on_forward(from, std::move(m)); },
                    [&](forward_reply_message& m) { on_reply(from, std::move(m)); },
                    [&](forward_cancel_message& m) { callbacks_.on_cancel(from, m); },
+                   [&](forward_recall_message& m) { callbacks_.on_recall(from, m); },
                    [&](node_report_message& m) { on_report(from, std::move(m)); },
                    [&](config_pull_message& m) { callbacks_.on_config_pull(from, m); },
                    [&](config_push_message& m) { callbacks_.on_config_push(m); },
@@ -288,6 +289,13 @@
     forwarded_requests_.erase(found);
 }
 
+void peers::recall(std::uint64_t number)
+{
+    const auto found = forwarded_requests_.find(number);
+    if (found != forwarded_requests_.end())
+        found->second.connection->send(forward_recall_message{number});
+}
+
 bool peers::is_unresponsive(const peer& other) const
 {
     const auto report_interval = report_schedule::interval(peers_.size());
--- a/src/gateway/request_router.cpp
+++ b/src/gateway/request_router.cpp
@@ -182,6 +182,9 @@
 
 void request_router::place_request(const request_ptr& request)
 {
+    if (!placing_)
+        return reject(request, request->sends > 0 ? rejection::interrupted
+                                                  : rejection::stopping);
     if (request->answer_deadline <= clock::now())
         return reject(request,
                       request->sends > 0 ? rejection::timeout : rejection::overload);
--- a/src/gateway/request_router_answers.cpp
+++ b/src/gateway/request_router_answers.cpp
@@ -107,7 +107,7 @@
 {
     const auto& message = request->message;
     const auto now = clock::now();
-    const bool may_repeat = message.repeat == repeat_rule::idempotent &&
+    const bool may_repeat = placing_ && message.repeat == repeat_rule::idempotent &&
                             request->sends < request->matched_route->max_servers &&
                             shedder_.share(request->request_class()) >= 1;
     // A retry that cannot complete in time would only add load.
@@ -216,6 +216,36 @@
         executor_.cancel(request->local_run);
 }
 
+std::vector<request_router::request_ptr> request_router::open_request_list() const
+{
+    std::vector<request_ptr> open;
+    open.reserve(requests_.size());
+    for (const auto& [number, request] : requests_)
+        open.push_back(request);
+    return open;
+}
+
+void request_router::recall_waiting()
+{
+    if (!std::exchange(placing_, false))
+        return;
+    for (const auto& request : open_request_list())
+    {
+        if (request->forward_number != 0)
+            peers_.recall(request->forward_number);
+        else if (request->local_run.get() != 0)
+            executor_.recall(request->local_run);
+    }
+}
+
+void request_router::answer_all()
+{
+    placing_ = false;
+    for (const auto& request : open_request_list())
+        reject(request, request->sends > 0 ? rejection::interrupted
+                                           : rejection::stopping);
+}
+
 void request_router::end_request(const request_ptr& request)
 {
     request->ended = true;
--- a/src/gateway/run_executor.cpp
+++ b/src/gateway/run_executor.cpp
@@ -388,6 +388,16 @@
         run_entry.handle.cancel();
 }
 
+void run_executor::recall(run_number number)
+{
+    const auto found = runs_.find(number);
+    if (found == runs_.end() || found->second.sent_at != time_point{})
+        return;
+    const auto dequeued = queue_.cancel(number, clock::now());
+    fail_run(number, forward_result::not_run, forward_failure::cancelled, false);
+    start_and_drop(dequeued);
+}
+
 // What seems to have taken long during a pause of this process says nothing about the
 // server.
 void run_executor::check_for_pause()
--- a/src/gateway/wire_format.cpp
+++ b/src/gateway/wire_format.cpp
@@ -27,6 +27,8 @@
         return "server_failed";
     case rejection::link_failed:
         return "link_failed";
+    case rejection::interrupted:
+        return "interrupted";
     case rejection::timeout:
         return "timeout";
     }
--- a/src/include/fescueridge/codec/gateway_messages.hpp
+++ b/src/include/fescueridge/codec/gateway_messages.hpp
@@ -64,7 +64,7 @@
     server_broke_off, ///< The connection ended or spoiled the answer.
     quarantined,      ///< Earlier runs of this request crashed backend servers.
     link_lost,        ///< The link between the nodes broke.
-    cancelled         ///< The client left.
+    cancelled         ///< The client left, or the request was taken back.
 };
 
 /// How busy the backend server beside a node is.
@@ -92,6 +92,13 @@
     std::uint64_t number = 0;
 };
 
+/// The sender takes a forwarded request back unless it was sent to the backend server. One
+/// that still waits is replied to as not run; the others get their usual reply.
+struct forward_recall_message
+{
+    std::uint64_t number = 0;
+};
+
 /// The backend server beside a node, as it announced itself.
 struct server_record
 {
--- a/src/include/fescueridge/codec/messages.hpp
+++ b/src/include/fescueridge/codec/messages.hpp
@@ -161,7 +161,7 @@
                  sheet_delta_message, forward_message, forward_reply_message,
                  forward_cancel_message, node_report_message, config_pull_message,
                  config_push_message, known_nodes_message, suspect_message,
-                 own_server_message>;
+                 own_server_message, forward_recall_message>;
 
 /// A message with the Lamport stamp of its sender.
 struct link_frame
--- a/src/include/fescueridge/gateway/peers.hpp
+++ b/src/include/fescueridge/gateway/peers.hpp
@@ -39,6 +39,7 @@
     /// A peer forwards a request to this node; the reply is sent on the link.
     std::function<void(const link_ptr&, forward_message)> on_forward;
     std::function<void(const link_ptr&, const forward_cancel_message&)> on_cancel;
+    std::function<void(const link_ptr&, const forward_recall_message&)> on_recall;
     std::function<void(const link_ptr&)> on_link_closed;
     std::function<void(const peer&)> on_report;
     std::function<void(const link_ptr&)> on_link_open;
@@ -80,6 +81,10 @@
     /// called.
     void cancel(std::uint64_t number);
 
+    /// Takes a forwarded request back unless it was sent to the backend server. Its `done`
+    /// is called as usual.
+    void recall(std::uint64_t number);
+
     /// Returns whether the peer has no link, or its link owes a ping's answer or reports
     /// for so long that it may be broken.
     bool is_unresponsive(const peer& other) const;
--- a/src/include/fescueridge/gateway/request_router.hpp
+++ b/src/include/fescueridge/gateway/request_router.hpp
@@ -73,6 +73,14 @@
     /// complete. Calls of running requests are still admitted.
     void reject_clients() { rejecting_clients_ = true; }
 
+    /// Takes back the requests that wait for a server and places none from now on: they
+    /// end as not run. Requests at a server go on.
+    void recall_waiting();
+
+    /// Answers every open request, because the process ends. Those that may have run get
+    /// no promise.
+    void answer_all();
+
     /// Sets the service that is stated as the caller of requests received by this node.
     void set_caller(const service_name& caller) { caller_ = caller; }
 
@@ -115,6 +123,7 @@
     void on_timeout(const request_ptr& request);
     void on_client_disconnected(const request_ptr& request);
     void cancel_attempt(const request_ptr& request);
+    std::vector<request_ptr> open_request_list() const;
     void end_request(const request_ptr& request);
     milliseconds retry_after(const request_state& request);
     std::map<service_name, double> downstream_calls(const route_name& route) const;
@@ -132,6 +141,7 @@
     run_executor& executor_;
     service_name caller_;
     bool rejecting_clients_ = false;
+    bool placing_ = true; ///< False from recall_waiting() on.
     std::shared_ptr<const route_table> table_;
     std::unordered_map<route_name, weighted_round_robin> target_pickers_;
     std::unordered_map<std::uint64_t, request_ptr> requests_;
--- a/src/include/fescueridge/gateway/run_executor.hpp
+++ b/src/include/fescueridge/gateway/run_executor.hpp
@@ -62,6 +62,10 @@
     /// and already sent is not interrupted; its answer is discarded.
     void cancel(run_number number);
 
+    /// Takes back a request that has not been sent to the server: it ends as not run. Has
+    /// no effect on a request that was sent.
+    void recall(run_number number);
+
     /// Processes an announcement of the server.
     server_change on_announcement(const server_announcement& announcement);
     void on_server_record_from_peer(const own_server_message& own);
--- a/src/include/fescueridge/gateway/wire_format.hpp
+++ b/src/include/fescueridge/gateway/wire_format.hpp
@@ -49,6 +49,7 @@
     quarantined,   ///< Earlier runs of the request crashed backend servers; not run.
     server_failed, ///< The server failed or closed the connection; may have run.
     link_failed,   ///< The link to the node beside the server failed; may have run.
+    interrupted,   ///< The node ends before the server has answered; may have run.
     timeout        ///< The deadline passed; may have run.
 };
 
