Answer open calls when the drain of a node runs out of time

Callers saw: a node of the product's own interface that reached drain_timeout_ms at its stop closed its ports over open calls. Calls that waited in a queue elsewhere ended without an answer, though they had not run. Change: when the time is up the node refuses what waits in its own queue and recalls its calls; those that waited end as not_run with reason shutting_down, the others as unknown. It waits at most 0.5 s for the replies.

--- a/src/include/fescueridge/node/call_router.hpp
+++ b/src/include/fescueridge/node/call_router.hpp
@@ -103,6 +103,13 @@
     /// Ends every attempt that was sent over the closed link, with outcome `unknown`.
     void on_link_closed(const link_ptr& closed);
 
+    /// Cancels the attempts of all open calls and makes no others. Each call ends with
+    /// the replies, which tell whether it has run; those that waited end as `not_run`.
+    void recall_all();
+
+    /// Ends all open calls with reason `shutting_down`; they may have run.
+    void end_all();
+
     /// Returns the number of attempts awaiting a reply over a link.
     std::size_t pending_attempts() const;
 
--- a/src/include/fescueridge/node/server_executor.hpp
+++ b/src/include/fescueridge/node/server_executor.hpp
@@ -102,6 +102,9 @@
     /// Refuses new calls with reason `draining`. Admitted calls are completed.
     void drain();
 
+    /// Refuses the queued calls with reason `draining`.
+    void refuse_waiting();
+
     /// Removes the server: closes the connection pool and refuses the queued calls.
     void remove_server();
 
--- a/src/node/call_router.cpp
+++ b/src/node/call_router.cpp
@@ -53,6 +53,42 @@
     return result;
 }
 
+router_state::shard& router_state::shard_of(const outbound_call& call)
+{
+    return shards[std::hash<const outbound_call*>{}(&call) % shard_count];
+}
+
+void router_state::add_call(const std::shared_ptr<outbound_call>& call)
+{
+    shard& part = shard_of(*call);
+    const std::lock_guard lock(part.mutex);
+    part.calls.emplace(call.get(), call);
+}
+
+void router_state::remove_call(const outbound_call& call)
+{
+    shard& part = shard_of(call);
+    const std::lock_guard lock(part.mutex);
+    part.calls.erase(&call);
+}
+
+std::vector<std::shared_ptr<outbound_call>> router_state::open_calls() const
+{
+    std::vector<std::shared_ptr<outbound_call>> result;
+    for (const shard& part : shards)
+    {
+        const std::lock_guard lock(part.mutex);
+        for (const auto& [address, weak] : part.calls)
+        {
+            if (auto call = weak.lock())
+            {
+                result.push_back(std::move(call));
+            }
+        }
+    }
+    return result;
+}
+
 std::size_t router_state::size() const
 {
     std::size_t total = 0;
@@ -104,6 +140,22 @@
     }
 }
 
+void call_router::recall_all()
+{
+    for (const auto& call : state_->open_calls())
+    {
+        call->recall();
+    }
+}
+
+void call_router::end_all()
+{
+    for (const auto& call : state_->open_calls())
+    {
+        call->end_for_shutdown();
+    }
+}
+
 std::size_t call_router::pending_attempts() const
 {
     return state_->size();
--- a/src/node/executor_core.cpp
+++ b/src/node/executor_core.cpp
@@ -357,6 +357,16 @@
     draining_ = true;
 }
 
+void executor_core::refuse_waiting()
+{
+    queue_changes changes;
+    {
+        const std::lock_guard lock(mutex_);
+        changes = queue_.drop_all(refusal_reason::draining);
+    }
+    apply_queue_changes(changes);
+}
+
 void executor_core::remove_server()
 {
     std::shared_ptr<http_client_pool> pool;
--- a/src/node/executor_core.hpp
+++ b/src/node/executor_core.hpp
@@ -50,6 +50,7 @@
     void cancel(const call_id& id);
     void announce(const server_announcement& server);
     void drain();
+    void refuse_waiting();
     void remove_server();
     void set_claim_client(std::shared_ptr<claim_client> client);
     void update_level();
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -23,6 +23,9 @@
 constexpr milliseconds log_timeout{1000};
 constexpr milliseconds drain_poll_interval{20};
 
+// Time for the replies to recalled calls to arrive from nodes in other failure domains.
+constexpr milliseconds recall_timeout{500};
+
 // Time to write the last responses to their sockets after the last call has ended.
 constexpr milliseconds response_flush_delay{100};
 
@@ -414,15 +417,34 @@
 {
     monitor_.drain();
     executor_.drain();
-    const time_point drain_deadline = clock::now() + settings_.drain_timeout;
-    while (in_flight() > 0 && clock::now() < drain_deadline)
+    wait_until_idle(settings_.drain_timeout);
+    events_.record("drained", {{"left", static_cast<std::int64_t>(in_flight())}});
+    if (in_flight() > 0)
     {
-        std::this_thread::sleep_for(drain_poll_interval);
+        end_open_calls();
     }
-    events_.record("drained", {{"left", static_cast<std::int64_t>(in_flight())}});
     std::this_thread::sleep_for(response_flush_delay);
 }
 
+void node::impl::wait_until_idle(milliseconds timeout) const
+{
+    const time_point deadline = clock::now() + timeout;
+    while (in_flight() > 0 && clock::now() < deadline)
+    {
+        std::this_thread::sleep_for(drain_poll_interval);
+    }
+}
+
+// A connection that closes without an answer tells its caller nothing, and a call that
+// still waits in a queue has not run.
+void node::impl::end_open_calls()
+{
+    executor_.refuse_waiting();
+    router_.recall_all();
+    wait_until_idle(recall_timeout);
+    router_.end_all();
+}
+
 void node::impl::close_ports()
 {
     operator_port_->stop();
--- a/src/node/node_impl.hpp
+++ b/src/node/node_impl.hpp
@@ -87,6 +87,8 @@
     std::optional<refusal_reason> unavailability_reason() const;
     std::size_t in_flight() const;
     void drain_calls();
+    void wait_until_idle(milliseconds timeout) const;
+    void end_open_calls();
     void close_ports();
 
     const node_settings settings_;
--- a/src/node/outbound_call.cpp
+++ b/src/node/outbound_call.cpp
@@ -29,6 +29,7 @@
 
 void outbound_call::begin()
 {
+    state_->add_call(shared_from_this());
     request_.parent->downstream.on_call_start();
     child_number_ = request_.parent->add_child(
         [weak = weak_from_this()]
@@ -145,7 +146,7 @@
     call_message message;
     {
         const std::lock_guard lock(mutex_);
-        if (!done_ || now >= request_.parent->deadline)
+        if (!done_ || recalled_ || now >= request_.parent->deadline)
         {
             return false;
         }
@@ -190,7 +191,7 @@
                 found->second.via = via;
             }
             self->state_->add(id, {self, via});
-            if (via->send(message))
+            if (!self->recalled() && via->send(message))
             {
                 return;
             }
@@ -216,6 +217,11 @@
         attempts_.erase(found);
     }
     record_result(*ended, reply);
+    if (recalled() && reply.result == outcome::not_run)
+    {
+        finish(make_refusal(refusal_reason::shutting_down, outcome::not_run));
+        return;
+    }
     if (reply.result == outcome::ok || !try_retry(*ended, reply, sent))
     {
         finish(std::move(reply));
@@ -351,6 +357,31 @@
     finish(make_refusal(refusal_reason::cancelled, outcome::unknown));
 }
 
+void outbound_call::recall()
+{
+    std::unordered_map<call_id, attempt> running;
+    {
+        const std::lock_guard lock(mutex_);
+        recalled_ = true;
+        running = attempts_;
+    }
+    for (const auto& [id, running_attempt] : running)
+    {
+        cancel_attempt(id, running_attempt);
+    }
+}
+
+void outbound_call::end_for_shutdown()
+{
+    finish(make_refusal(refusal_reason::shutting_down, outcome::unknown));
+}
+
+bool outbound_call::recalled() const
+{
+    const std::lock_guard lock(mutex_);
+    return recalled_;
+}
+
 void outbound_call::finish(reply_message reply)
 {
     call_router::reply_callback done;
@@ -371,6 +402,7 @@
         deadline_timer_.cancel();
         hedge_timer_.cancel();
     }
+    state_->remove_call(*this);
     cancel_other_attempts();
     request_.parent->downstream.on_call_end();
     if (child_number_)
@@ -395,12 +427,20 @@
         if (unfinished.via)
         {
             state_->remove(id);
-            unfinished.via->send(cancel_message{id});
-        }
-        else if (unfinished.node == state_->deps.self)
-        {
-            state_->deps.local.cancel(id);
         }
+        cancel_attempt(id, unfinished);
+    }
+}
+
+void outbound_call::cancel_attempt(const call_id& id, const attempt& running)
+{
+    if (running.via)
+    {
+        running.via->send(cancel_message{id});
+    }
+    else if (running.node == state_->deps.self)
+    {
+        state_->deps.local.cancel(id);
     }
 }
 
--- a/src/node/outbound_call.hpp
+++ b/src/node/outbound_call.hpp
@@ -43,11 +43,19 @@
 
     std::size_t size() const;
 
+    void add_call(const std::shared_ptr<outbound_call>& call);
+    void remove_call(const outbound_call& call);
+
+    /// Returns the calls that have not ended.
+    std::vector<std::shared_ptr<outbound_call>> open_calls() const;
+
     struct shard
     {
         mutable std::mutex mutex;
         std::unordered_map<call_id, pending_attempt> attempts;
+        std::unordered_map<const outbound_call*, std::weak_ptr<outbound_call>> calls;
     };
+    shard& shard_of(const outbound_call& call);
     static constexpr std::size_t shard_count = 16;
 
     router_dependencies deps;
@@ -71,6 +79,13 @@
     /// Ends the call with reason `cancelled`.
     void cancel();
 
+    /// Cancels the attempts and makes no others. The call ends with their replies, which
+    /// tell whether it has run.
+    void recall();
+
+    /// Ends the call with reason `shutting_down`.
+    void end_for_shutdown();
+
 private:
     struct attempt
     {
@@ -104,6 +119,8 @@
     void finish(reply_message reply);
     reply_message make_refusal(refusal_reason reason, outcome result) const;
     void cancel_other_attempts();
+    void cancel_attempt(const call_id& id, const attempt& running);
+    bool recalled() const;
 
     const std::shared_ptr<router_state> state_;
     const outbound_request request_;
@@ -116,6 +133,7 @@
     call_router::reply_callback done_; // empty once the call has ended
     std::unordered_map<call_id, attempt> attempts_;
     std::vector<node_id> tried_nodes_;
+    bool recalled_ = false;
     bool may_have_run_ = false;
     bool free_retry_used_ = false;
 };
--- a/src/node/server_executor.cpp
+++ b/src/node/server_executor.cpp
@@ -32,6 +32,11 @@
     core_->drain();
 }
 
+void server_executor::refuse_waiting()
+{
+    core_->refuse_waiting();
+}
+
 void server_executor::remove_server()
 {
     core_->remove_server();
