Note when a server left, whatever its start was known from

Cause: a process that knows a server from a health check does not know its start. The departure marked it as gone but did not note the time, so that the next late heartbeat counted as a new start. A leaving that the server states in an answer had the same gap. Change: every way of leaving goes through server_tracker::leave().

--- a/src/gateway/run_executor.cpp
+++ b/src/gateway/run_executor.cpp
@@ -196,7 +196,7 @@
     const bool first = !std::exchange(answered_, true);
     const auto notice = wire_.read_notice(answer);
     if (notice.leaving)
-        handle_server_change(tracker_.on_leaving_notice(), "answer");
+        handle_server_change(tracker_.on_leaving_notice(wall_clock_ms()), "answer");
     if (rate_.on_answer(notice, sent_at, now))
         apply_rate("answer");
     if (first && tracker_.server())
--- a/src/gateway/server_tracker.cpp
+++ b/src/gateway/server_tracker.cpp
@@ -115,7 +115,17 @@
     last_seen_ = now;
     if (server_->state == server_state::gone)
         return server_change::none;
-    server_->state = server_state::gone;
+    return leave(server_state::gone, wall_ms);
+}
+
+/// Ends the current start. Where it is unknown, every start up to now has left: its last
+/// heartbeats may still be on their way and are the first that tell its time.
+server_change server_tracker::leave(server_state state, std::int64_t wall_ms)
+{
+    const bool was_leaving = is_leaving(server_->state);
+    server_->state = state;
+    if (!was_leaving)
+        left_wall_ms_ = wall_ms;
     return server_change::leaving;
 }
 
@@ -168,12 +178,11 @@
     return server_change::recovered;
 }
 
-server_change server_tracker::on_leaving_notice()
+server_change server_tracker::on_leaving_notice(std::int64_t wall_ms)
 {
     if (!server_ || is_leaving(server_->state))
         return server_change::none;
-    server_->state = server_state::draining;
-    return server_change::leaving;
+    return leave(server_state::draining, wall_ms);
 }
 
 server_change server_tracker::on_answer()
--- a/src/gateway/server_tracker_test.cpp
+++ b/src/gateway/server_tracker_test.cpp
@@ -66,8 +66,8 @@
 {
     server_tracker tracker(tills, heartbeat_interval);
     tracker.on_heartbeat(make_heartbeat("a", 10, 1), start);
-    cr_expect(tracker.on_leaving_notice() == server_change::leaving);
-    cr_expect(tracker.on_leaving_notice() == server_change::none);
+    cr_expect(tracker.on_leaving_notice(wall_ms) == server_change::leaving);
+    cr_expect(tracker.on_leaving_notice(wall_ms) == server_change::none);
     tracker.on_heartbeat(make_heartbeat("a", 10, 2), start);
     cr_expect(!tracker.accepts());
     tracker.on_heartbeat(make_heartbeat("b", 20, 1), start);
@@ -133,6 +133,29 @@
     cr_expect(tracker.accepts());
 }
 
+// Guards against a late heartbeat that brings back a server which has left and which the
+// restarted process knew from a health check only.
+Test(server_tracker, keeps_a_server_out_that_left_with_an_unknown_start)
+{
+    server_tracker departed(tills, heartbeat_interval);
+    departed.on_health_check_passed(instance_id("a"), slot_count(16), start);
+    cr_expect(departed.accepts());
+    cr_expect(departed.on_departure({instance_id("a"), std::nullopt}, start, wall_ms) ==
+              server_change::leaving);
+    server_tracker noticed(tills, heartbeat_interval);
+    noticed.on_health_check_passed(instance_id("a"), slot_count(16), start);
+    noticed.on_leaving_notice(wall_ms);
+    for (server_tracker* tracker : {&departed, &noticed})
+    {
+        tracker->on_heartbeat(make_heartbeat("a", 900, 11), start);
+        tracker->on_heartbeat(make_heartbeat("a", 900, 12), start);
+        cr_expect(!tracker->accepts());
+        cr_expect(tracker->on_heartbeat(make_heartbeat("a", 1'001, 1), start) ==
+                  server_change::started);
+        cr_expect(tracker->accepts());
+    }
+}
+
 // If a clock was set back, a new start may appear older than the departure. A peer's
 // record of the start that has left must resolve this.
 Test(server_tracker, accepts_the_departed_start_from_a_peer)
--- a/src/include/fescueridge/gateway/server_tracker.hpp
+++ b/src/include/fescueridge/gateway/server_tracker.hpp
@@ -57,8 +57,9 @@
     server_change on_health_check_passed(const instance_id& id, slot_count assumed_slots,
                                          time_point now);
 
-    /// Records that the server has stated in an answer that it leaves.
-    server_change on_leaving_notice();
+    /// Records that the server has stated in an answer that it leaves. `wall_ms` is as for
+    /// on_departure().
+    server_change on_leaving_notice(std::int64_t wall_ms);
 
     /// Records an answer to a request.
     server_change on_answer();
@@ -75,6 +76,7 @@
 
 private:
     server_change start_tracking(const server_record& server, time_point now);
+    server_change leave(server_state state, std::int64_t wall_ms);
     bool left_with_unknown_start(const instance_id& id) const;
     void set_start_that_left(std::int64_t born_ms);
 
