Keep a drained server out of use on the product's own interface

Callers saw: a delayed announcement of an earlier start of a backend server ended its drain and replaced the later start. A drain that was acknowledged before the server's first announcement had no effect. Cause: server_monitor took every other incarnation for a new process, and forgot a drain with it. Change: announcements of an earlier incarnation are ignored while the later one lives; a drain binds the drained start and all earlier ones, or the first one that announces itself.

--- a/src/include/fescueridge/node/server_monitor.hpp
+++ b/src/include/fescueridge/node/server_monitor.hpp
@@ -25,11 +25,13 @@
                    std::function<void(const std::function<void(member_record&)>&)>
                        update_member_record);
 
-    /// Handles an announcement of the server, which is also its heartbeat.
+    /// Handles an announcement of the server, which is also its heartbeat. A later start
+    /// has a higher incarnation; a delayed announcement of an earlier one is ignored.
     void announce(const server_announcement& server);
 
     /// Puts the server in state `draining`; running calls are completed. The state ends
-    /// when a new server process announces itself.
+    /// when a later server process announces itself. Without a server, it applies to the
+    /// first that announces itself.
     void drain();
 
     /// Puts the server in state `gone`, after a crash was detected.
@@ -42,6 +44,7 @@
     std::optional<server_announcement> server() const;
 
 private:
+    bool is_delayed(const server_announcement& server) const;
     void publish_state(const server_announcement& server);
 
     server_executor& executor_;
@@ -51,7 +54,8 @@
     mutable std::mutex mutex_;
     std::optional<server_announcement> server_;
     time_point last_heartbeat_{};
-    bool drained_ = false;
+    std::optional<incarnation> drained_start_; ///< It and all earlier starts drain.
+    bool drain_next_start_ = false;
 };
 
 } // namespace fescueridge
--- a/src/node/server_monitor.cpp
+++ b/src/node/server_monitor.cpp
@@ -17,16 +17,21 @@
     bool changed = false;
     {
         const std::lock_guard lock(mutex_);
-        const bool new_process =
-            !server_ || server_->incarnation_number != server.incarnation_number;
-        if (new_process)
+        if (is_delayed(server))
+        {
+            return;
+        }
+        if (drain_next_start_)
         {
-            drained_ = false;
+            drain_next_start_ = false;
+            drained_start_ = server.incarnation_number;
         }
-        if (drained_)
+        if (drained_start_ && server.incarnation_number <= *drained_start_)
         {
             current.state = server_state::draining;
         }
+        const bool new_process =
+            !server_ || server_->incarnation_number != server.incarnation_number;
         changed = new_process || server_->state != current.state ||
                   server_->slots != current.slots || server_->requires_new_pool(current);
         server_ = current;
@@ -40,6 +45,14 @@
     publish_state(current);
 }
 
+// An announcement of an earlier start that arrives late must not replace the later start.
+// Once that is gone, the earlier number may come from a clock that was set back.
+bool server_monitor::is_delayed(const server_announcement& server) const
+{
+    return server_ && server_->state != server_state::gone &&
+           server.incarnation_number < server_->incarnation_number;
+}
+
 void server_monitor::publish_state(const server_announcement& server)
 {
     events_.record("server_state", {{"service", server.service.get()},
@@ -59,9 +72,10 @@
     std::optional<server_announcement> current;
     {
         const std::lock_guard lock(mutex_);
-        drained_ = true;
+        drain_next_start_ = !server_;
         if (server_)
         {
+            drained_start_ = server_->incarnation_number;
             server_->state = server_state::draining;
         }
         current = server_;
