Take the service of a VM from its settings alone

Cause: a heartbeat of another writer that names any service was acknowledged and became the record of the server and the caller of the node's requests. No path compared the service with the settings. With a later born the real server's heartbeats then counted as stale, for good. Change: server_tracker ignores heartbeats and records of peers that name another service; such a heartbeat is answered 400 and logged.

--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -41,6 +41,7 @@
 
     void stop();
     void log_settings_reload(bool usable, const std::string& detail);
+    void set_service(const service_name& service);
 
 private:
     using timer_ptr = std::shared_ptr<asio::steady_timer>;
@@ -50,11 +51,13 @@
     cluster_callbacks make_cluster_callbacks();
     void start_following();
 
+    void configure_executor();
     void apply_config(const std::string& content, const char* source);
     void store_call_edges();
 
     void handle_readiness(const http_request& request, http_exchange& exchange);
     void handle_announcement(const http_request& request, http_exchange& exchange);
+    void reject_announcement(const std::string& detail, http_exchange& exchange);
 
     void on_forward(const link_ptr& from, forward_message message);
     void on_cancel(const link_ptr& from, std::uint64_t number);
@@ -70,6 +73,7 @@
 
     asio::io_context& io_;
     const node_settings settings_;
+    service_name service_; ///< Of this VM; the settings may change it.
     const wire_format& wire_;
     keyed_log& log_;
     event_log events_;
@@ -96,7 +100,8 @@
 
 gateway_node::impl::impl(asio::io_context& io, node_settings settings,
                          const wire_format& wire, keyed_log& log)
-    : io_(io), settings_(std::move(settings)), wire_(wire), log_(log),
+    : io_(io), settings_(std::move(settings)), service_(settings_.service), wire_(wire),
+      log_(log),
       events_(settings_.node, incarnation(random_seed())), decisions_(io, settings_.node),
       executor_(io, settings_, wire, decisions_,
                 {[this] { schedule_report(); },
@@ -295,13 +300,26 @@
     if (config.limits.idle_timeout > milliseconds{0})
         request_server_->set_timeouts(config.limits.header_timeout,
                                       config.limits.idle_timeout);
-    const auto& server = executor_.server();
-    if (const auto* service =
-            table_->service(server ? server->service : settings_.service))
-        executor_.configure(*service);
+    configure_executor();
     schedule_report();
 }
 
+void gateway_node::impl::configure_executor()
+{
+    if (const auto* service = table_ ? table_->service(service_) : nullptr)
+        executor_.configure(*service);
+}
+
+void gateway_node::impl::set_service(const service_name& service)
+{
+    if (service == service_)
+        return;
+    service_ = service;
+    executor_.set_service(service);
+    router_.set_caller(service);
+    configure_executor();
+}
+
 // Only the linked node with the lowest name writes.
 void gateway_node::impl::store_call_edges()
 {
@@ -338,22 +356,24 @@
 {
     try
     {
-        executor_.on_announcement(wire_.read_announcement(request));
-        if (const auto& server = executor_.server())
-        {
-            router_.set_caller(server->service);
-            if (const auto* service = table_ ? table_->service(server->service) : nullptr)
-                executor_.configure(*service);
-        }
+        const auto change = executor_.on_announcement(wire_.read_announcement(request));
+        if (change == server_change::foreign)
+            return reject_announcement("names another service", exchange);
         exchange.respond(wire_.make_acknowledgement());
     }
     catch (const codec_error& error)
     {
-        decisions_.record(log_event::announcement_unusable, {{"detail", error.what()}});
-        exchange.respond({400, {{"Content-Type", "text/plain"}}, "unusable\n"});
+        reject_announcement(error.what(), exchange);
     }
 }
 
+void gateway_node::impl::reject_announcement(const std::string& detail,
+                                             http_exchange& exchange)
+{
+    decisions_.record(log_event::announcement_unusable, {{"detail", detail}});
+    exchange.respond({400, {{"Content-Type", "text/plain"}}, "unusable\n"});
+}
+
 void gateway_node::impl::on_forward(const link_ptr& from, forward_message message)
 {
     const std::pair key{from.get(), message.number};
@@ -519,6 +539,11 @@
     impl_->stop();
 }
 
+void gateway_node::set_service(const service_name& service)
+{
+    impl_->set_service(service);
+}
+
 void gateway_node::log_settings_reload(bool usable, const std::string& detail)
 {
     impl_->log_settings_reload(usable, detail);
--- a/src/gateway/run_executor.cpp
+++ b/src/gateway/run_executor.cpp
@@ -164,6 +164,11 @@
     return change;
 }
 
+void run_executor::set_service(const service_name& service)
+{
+    handle_server_change(tracker_.set_service(service), "settings");
+}
+
 void run_executor::on_restart(const server_record& before)
 {
     replace_pool();
@@ -246,7 +251,7 @@
         fields.push_back({"slots", std::int64_t{server->slots.get()}});
     }
     decisions_.record(log_event::server_changed, fields);
-    if (change == server_change::stale)
+    if (change == server_change::stale || change == server_change::foreign)
         return;
     if (change == server_change::leaving)
         reject_waiting(forward_failure::server_leaving);
--- a/src/gateway/server_tracker.cpp
+++ b/src/gateway/server_tracker.cpp
@@ -24,6 +24,8 @@
         return "none";
     case server_change::stale:
         return "stale";
+    case server_change::foreign:
+        return "foreign";
     case server_change::started:
         return "started";
     case server_change::ready:
@@ -43,6 +45,16 @@
     return server_ && !is_leaving(server_->state) && !suspected_;
 }
 
+server_change server_tracker::set_service(const service_name& service)
+{
+    service_ = service;
+    if (!server_ || server_->service == service)
+        return server_change::none;
+    server_.reset();
+    suspected_ = false;
+    return server_change::leaving;
+}
+
 server_change server_tracker::start_tracking(const server_record& server, time_point now)
 {
     const bool new_start =
@@ -72,6 +84,8 @@
                                            time_point now)
 {
     const server_record& announced = heartbeat.server;
+    if (announced.service != service_)
+        return server_change::foreign;
     if (announced.born_ms < latest_born_ms_)
         return server_change::stale;
     if (left_with_unknown_start(announced.id) && announced.born_ms <= left_wall_ms_)
@@ -132,6 +146,8 @@
 server_change server_tracker::on_server_record_from_peer(const server_record& server,
                                                          std::int64_t wall_ms)
 {
+    if (server.service != service_)
+        return server_change::foreign;
     if (left_with_unknown_start(server.id))
     {
         set_start_that_left(server.born_ms);
--- a/src/gateway/server_tracker_test.cpp
+++ b/src/gateway/server_tracker_test.cpp
@@ -170,6 +170,26 @@
               server_change::started);
 }
 
+// Guards against a record of another writer that replaces the server and its service,
+// which requests that begin here state as their caller.
+Test(server_tracker, ignores_records_of_another_service)
+{
+    server_tracker tracker(tills, heartbeat_interval);
+    auto foreign = make_heartbeat("b", 99, 1);
+    foreign.server.service = service_name("x13d392");
+    cr_expect(tracker.on_heartbeat(foreign, start) == server_change::foreign);
+    cr_expect(!tracker.server().has_value());
+    tracker.on_heartbeat(make_heartbeat("a", 10, 1), start);
+    foreign.server.state = server_state::gone;
+    cr_expect(tracker.on_server_record_from_peer(foreign.server, wall_ms) ==
+              server_change::foreign);
+    cr_expect(tracker.on_heartbeat(make_heartbeat("a", 10, 2), start) ==
+              server_change::none);
+    cr_expect(tracker.accepts());
+    cr_expect(tracker.set_service(foreign.server.service) == server_change::leaving);
+    cr_expect(tracker.on_heartbeat(foreign, start) == server_change::started);
+}
+
 // A silent server would hold its requests until their deadlines, so missing heartbeats
 // must make it suspected until it passes a health check.
 Test(server_tracker, suspects_a_server_without_heartbeats_and_recovers)
--- a/src/include/fescueridge/gateway/gateway_node.hpp
+++ b/src/include/fescueridge/gateway/gateway_node.hpp
@@ -32,6 +32,9 @@
     /// then stops the io_context.
     void stop();
 
+    /// Changes the service of this VM, which its requests state as their caller.
+    void set_service(const service_name& service);
+
     /// Logs that the settings file was reloaded, with `detail`.
     void log_settings_reload(bool usable, const std::string& detail);
 
--- a/src/include/fescueridge/gateway/run_executor.hpp
+++ b/src/include/fescueridge/gateway/run_executor.hpp
@@ -79,6 +79,9 @@
     std::optional<priority> on_server_call(const route_name& callee,
                                            milliseconds time_left);
 
+    /// Changes the service of this VM.
+    void set_service(const service_name& service);
+
     /// Applies the operators' settings of the service.
     void configure(const service_settings& settings);
 
--- a/src/include/fescueridge/gateway/server_tracker.hpp
+++ b/src/include/fescueridge/gateway/server_tracker.hpp
@@ -14,6 +14,7 @@
 {
     none,
     stale,     ///< From an earlier start, or older than the last announcement; ignored.
+    foreign,   ///< Names another service than this VM's; ignored.
     started,   ///< A new start of a server.
     ready,     ///< Accepts requests (again).
     leaving,   ///< Draining or gone.
@@ -29,12 +30,16 @@
 class server_tracker
 {
 public:
-    /// `service` is the service of this VM's server until the server announces one.
+    /// `service` is the service of this VM. A record that names another one is not of the
+    /// server beside this node.
     server_tracker(service_name service, milliseconds heartbeat_interval)
         : service_(std::move(service)), heartbeat_interval_(heartbeat_interval)
     {
     }
 
+    /// Changes the service of this VM. A server of another service is forgotten.
+    server_change set_service(const service_name& service);
+
     server_change on_heartbeat(const server_heartbeat& heartbeat, time_point now);
 
     /// Records the departure of a server. If the departure does not identify the start
