Take a request for a server's call only if a run may have made it

Calls are never shed and may wait until their deadline. Change: such a request counts as a call only if a run at the own server ends no earlier, with 0.3 s for the call's way. Others are clients' requests.

--- a/src/gateway/request_router.cpp
+++ b/src/gateway/request_router.cpp
@@ -78,7 +78,9 @@
     message.target_latency = matched_route.target_latency;
     message.rank = matched_route.rank;
     message.repeat = matched_route.repeat;
-    message.from_server = origins_.called_routes().count(matched_route.name) != 0;
+    const auto client_time = request->client_deadline - request->arrival;
+    message.from_server = origins_.called_routes().count(matched_route.name) != 0 &&
+                          executor_.may_have_called(client_time);
     message.method = std::move(raw.method);
     message.target = std::move(raw.target);
     message.authority = std::move(head.authority);
@@ -86,9 +88,7 @@
     message.body = std::move(raw.body);
     remove_hop_headers(message.headers);
     wire_.remove_reserved_fields(message.headers);
-    // A call needs a parent run at the server beside this node.
-    const bool is_call = message.from_server && executor_.open_runs() > 0;
-    if (rejecting_clients_ && !is_call)
+    if (rejecting_clients_ && !message.from_server)
         return reject(request, rejection::stopping);
     if (!try_admit(request))
         return reject(request, rejection::overload);
--- a/src/gateway/run_executor.cpp
+++ b/src/gateway/run_executor.cpp
@@ -32,6 +32,10 @@
 /// Connections permitted beyond one per running request, while others are being closed.
 constexpr std::uint32_t spare_connections = 2;
 
+/// Time for which a call of the server may be on its way before it is read: its deadline
+/// then seems later than it is.
+constexpr milliseconds max_call_delay{300};
+
 constexpr milliseconds health_check_interval{300};
 constexpr milliseconds health_check_timeout{500};
 
@@ -142,6 +146,18 @@
     return call_graph_.on_call(callee, time_left, running);
 }
 
+bool run_executor::may_have_called(milliseconds time_left) const
+{
+    const auto call_deadline = clock::now() + time_left;
+    return std::any_of(runs_.begin(), runs_.end(),
+                       [&](const auto& entry)
+                       {
+                           const run& parent = entry.second;
+                           return parent.sent_at != time_point{} &&
+                                  parent.deadline + max_call_delay >= call_deadline;
+                       });
+}
+
 server_change run_executor::on_announcement(const server_announcement& announcement)
 {
     const auto before = tracker_.server();
--- a/src/include/fescueridge/gateway/run_executor.hpp
+++ b/src/include/fescueridge/gateway/run_executor.hpp
@@ -79,6 +79,10 @@
     std::optional<priority> on_server_call(const route_name& callee,
                                            milliseconds time_left);
 
+    /// Returns whether a running request may have made a call with this much time left: a
+    /// call does not last longer than its parent.
+    bool may_have_called(milliseconds time_left) const;
+
     /// Changes the service of this VM.
     void set_service(const service_name& service);
 
