--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -101,14 +101,13 @@
 gateway_node::impl::impl(asio::io_context& io, node_settings settings,
                          const wire_format& wire, keyed_log& log)
     : io_(io), settings_(std::move(settings)), service_(settings_.service), wire_(wire),
-      log_(log),
-      events_(settings_.node, incarnation(random_seed())), decisions_(io, settings_.node),
-      executor_(io, settings_, wire, decisions_,
-                {[this] { schedule_report(); },
-                 [this](const suspect_message& suspect)
-                 {
-                     peers_.broadcast(suspect);
-                 }}),
+      log_(log), events_(settings_.node, incarnation(random_seed())),
+      decisions_(io, settings_.node), executor_(io, settings_, wire, decisions_,
+                                                {[this] { schedule_report(); },
+                                                 [this](const suspect_message& suspect)
+                                                 {
+                                                     peers_.broadcast(suspect);
+                                                 }}),
       peers_(io, settings_, events_, decisions_, make_peer_callbacks()),
       router_(io, settings_, wire, decisions_, peers_, executor_),
       records_(io, settings_, log, decisions_, peers_.self(), make_cluster_callbacks()),
--- a/src/gateway/request_router.cpp
+++ b/src/gateway/request_router.cpp
@@ -183,8 +183,7 @@
 void request_router::place_request(const request_ptr& request)
 {
     if (!placing_)
-        return reject(request, request->sends > 0 ? rejection::interrupted
-                                                  : rejection::stopping);
+        return reject_for_stop(request);
     if (request->answer_deadline <= clock::now())
         return reject(request,
                       request->sends > 0 ? rejection::timeout : rejection::overload);
--- a/src/gateway/request_router_answers.cpp
+++ b/src/gateway/request_router_answers.cpp
@@ -242,8 +242,13 @@
 {
     placing_ = false;
     for (const auto& request : open_request_list())
-        reject(request, request->sends > 0 ? rejection::interrupted
-                                           : rejection::stopping);
+        reject_for_stop(request);
+}
+
+void request_router::reject_for_stop(const request_ptr& request)
+{
+    const bool may_have_run = request->sends > 0;
+    reject(request, may_have_run ? rejection::interrupted : rejection::stopping);
 }
 
 void request_router::end_request(const request_ptr& request)
--- a/src/include/fescueridge/codec/gateway_messages.hpp
+++ b/src/include/fescueridge/codec/gateway_messages.hpp
@@ -92,8 +92,8 @@
     std::uint64_t number = 0;
 };
 
-/// The sender takes a forwarded request back unless it was sent to the backend server. One
-/// that still waits is replied to as not run; the others get their usual reply.
+/// The sender takes a forwarded request back unless it was sent to the backend server.
+/// One that still waits is replied to as not run; the others get their usual reply.
 struct forward_recall_message
 {
     std::uint64_t number = 0;
--- a/src/include/fescueridge/gateway/peers.hpp
+++ b/src/include/fescueridge/gateway/peers.hpp
@@ -81,8 +81,8 @@
     /// called.
     void cancel(std::uint64_t number);
 
-    /// Takes a forwarded request back unless it was sent to the backend server. Its `done`
-    /// is called as usual.
+    /// Takes a forwarded request back unless it was sent to the backend server. Its
+    /// `done` is called as usual.
     void recall(std::uint64_t number);
 
     /// Returns whether the peer has no link, or its link owes a ping's answer or reports
--- a/src/include/fescueridge/gateway/request_router.hpp
+++ b/src/include/fescueridge/gateway/request_router.hpp
@@ -118,6 +118,7 @@
     bool try_retry(const request_ptr& request, const char* cause);
     void deliver_answer(const request_ptr& request, forward_reply_message reply);
     void reject(const request_ptr& request, rejection reason);
+    void reject_for_stop(const request_ptr& request);
     void answer(const request_ptr& request, request_outcome outcome,
                 http_response response);
     void on_timeout(const request_ptr& request);
--- a/src/include/fescueridge/gateway/server_tracker.hpp
+++ b/src/include/fescueridge/gateway/server_tracker.hpp
@@ -62,8 +62,8 @@
     server_change on_health_check_passed(const instance_id& id, slot_count assumed_slots,
                                          time_point now);
 
-    /// Records that the server has stated in an answer that it leaves. `wall_ms` is as for
-    /// on_departure().
+    /// Records that the server has stated in an answer that it leaves. `wall_ms` is as
+    /// for on_departure().
     server_change on_leaving_notice(std::int64_t wall_ms);
 
     /// Records an answer to a request.
--- a/src/node/server_monitor_test.cpp
+++ b/src/node/server_monitor_test.cpp
@@ -31,11 +31,9 @@
     call_table calls;
     quarantine_table suspicions;
     event_log events{node_id("n1"), incarnation(1)};
-    server_executor executor{executor_dependencies{
-        io, sheets, refusals, calls, suspicions, events, [](const auto& /*records*/) {},
-        [] {
-        },
-        full_control{}}};
+    server_executor executor{
+        executor_dependencies{io, sheets, refusals, calls, suspicions, events,
+                              [](const auto& /*records*/) {}, [] {}, full_control{}}};
     member_record published;
     server_monitor monitor{executor, events,
                            [this](const auto& edit)
