Bind each departure from its acknowledgement

Cause: the process knew the server from a health check, without its start, and dropped the departure as that of another start. It dropped one of a start that it had not heard of as well. Change: server_tracker keeps departures apart from the tracked server; a start that has left stays out whatever was known. A departure of a later start ends the tracked one.

--- a/src/gateway/run_executor.cpp
+++ b/src/gateway/run_executor.cpp
@@ -48,6 +48,13 @@
 /// Idle timeout of connections to a server that does not state one.
 constexpr milliseconds default_idle_timeout{4'000};
 
+/// A server known from a health check has no start until its first announcement.
+bool is_other_start(const server_record& before, const server_record& after)
+{
+    return before.id != after.id ||
+           (before.born_ms != 0 && before.born_ms != after.born_ms);
+}
+
 http_client_options pool_options()
 {
     http_client_options options;
@@ -169,9 +176,7 @@
         change = tracker_.on_departure(std::get<server_departure>(announcement), now,
                                        wall_clock_ms());
     const auto& after = tracker_.server();
-    const bool restarted = change == server_change::started && before &&
-                           (before->id != after->id || before->born_ms != 0);
-    if (restarted)
+    if (before && is_other_start(*before, *after))
         on_restart(*before);
     select_server();
     if (after && after->state == server_state::ready)
--- a/src/gateway/server_tracker.cpp
+++ b/src/gateway/server_tracker.cpp
@@ -9,6 +9,9 @@
 namespace
 {
 
+/// More than the starts of one VM whose last heartbeats may still be on their way.
+constexpr std::size_t max_remembered_departures = 16;
+
 bool is_leaving(server_state state)
 {
     return state == server_state::draining || state == server_state::gone;
@@ -66,6 +69,22 @@
     return new_start ? server_change::started : server_change::ready;
 }
 
+bool server_tracker::has_left(const instance_id& id, std::int64_t born_ms) const
+{
+    const auto found = left_until_.find(id);
+    return found != left_until_.end() && born_ms <= found->second;
+}
+
+void server_tracker::note_left(const instance_id& id, std::int64_t until_ms)
+{
+    if (left_until_.size() >= max_remembered_departures && left_until_.count(id) == 0)
+        left_until_.erase(std::min_element(left_until_.begin(), left_until_.end(),
+                                           [](const auto& a, const auto& b)
+                                           { return a.second < b.second; }));
+    auto& until = left_until_[id];
+    until = std::max(until, until_ms);
+}
+
 /// Returns whether the server with this id has left and its start is unknown. A restarted
 /// process may receive a departure first, and departures need not identify the start.
 bool server_tracker::left_with_unknown_start(const instance_id& id) const
@@ -74,7 +93,7 @@
            is_leaving(server_->state);
 }
 
-void server_tracker::set_start_that_left(std::int64_t born_ms)
+void server_tracker::set_start(std::int64_t born_ms)
 {
     server_->born_ms = born_ms;
     latest_born_ms_ = std::max(latest_born_ms_, born_ms);
@@ -88,8 +107,12 @@
         return server_change::foreign;
     if (announced.born_ms < latest_born_ms_)
         return server_change::stale;
-    if (left_with_unknown_start(announced.id) && announced.born_ms <= left_wall_ms_)
-        set_start_that_left(announced.born_ms);
+    if (has_left(announced.id, announced.born_ms))
+    {
+        if (left_with_unknown_start(announced.id))
+            set_start(announced.born_ms);
+        return server_change::stale;
+    }
     const bool same_start =
         server_ && server_->id == announced.id && server_->born_ms == announced.born_ms;
     if (!same_start)
@@ -114,32 +137,50 @@
 server_change server_tracker::on_departure(const server_departure& departure,
                                            time_point now, std::int64_t wall_ms)
 {
-    if (!server_)
+    const auto born_ms = departure.born_ms.value_or(0);
+    const bool tracked_start_known =
+        server_ && server_->id == departure.id && server_->born_ms != 0;
+    const auto last_start_ms = tracked_start_known ? server_->born_ms : wall_ms;
+    note_left(departure.id, born_ms != 0 ? born_ms : last_start_ms);
+    if (!server_ || is_later_start(departure.id, born_ms))
     {
         server_record left;
         left.id = departure.id;
         left.service = service_;
-        left.born_ms = departure.born_ms.value_or(0);
-        left.state = server_state::gone;
-        return on_server_record_from_peer(left, wall_ms);
+        left.born_ms = born_ms;
+        left.state = server_state::ready;
+        start_tracking(left, now);
+        return leave(server_state::gone, wall_ms);
     }
-    const bool other_start = departure.born_ms && *departure.born_ms != server_->born_ms;
-    if (server_->id != departure.id || other_start)
+    if (server_->id != departure.id || (born_ms != 0 && born_ms < server_->born_ms))
         return server_change::stale;
+    if (born_ms != 0)
+        set_start(born_ms);
     last_seen_ = now;
     if (server_->state == server_state::gone)
         return server_change::none;
     return leave(server_state::gone, wall_ms);
 }
 
+/// Returns whether this is a start after the one that is tracked.
+bool server_tracker::is_later_start(const instance_id& id, std::int64_t born_ms) const
+{
+    // Without the time of the tracked start, another id may also be that of an earlier
+    // one.
+    const bool comparable = server_->born_ms != 0;
+    return comparable && born_ms > latest_born_ms_ &&
+           (server_->id != id || born_ms != server_->born_ms);
+}
+
 /// Ends the current start. Where it is unknown, every start up to now has left: its last
 /// heartbeats may still be on their way and are the first that tell its time.
 server_change server_tracker::leave(server_state state, std::int64_t wall_ms)
 {
-    const bool was_leaving = is_leaving(server_->state);
+    if (server_->born_ms == 0)
+        note_left(server_->id, wall_ms);
+    else if (state == server_state::gone)
+        note_left(server_->id, server_->born_ms);
     server_->state = state;
-    if (!was_leaving)
-        left_wall_ms_ = wall_ms;
     return server_change::leaving;
 }
 
@@ -150,7 +191,11 @@
         return server_change::foreign;
     if (left_with_unknown_start(server.id))
     {
-        set_start_that_left(server.born_ms);
+        if (server.born_ms != 0)
+        {
+            left_until_[server.id] = server.born_ms;
+            set_start(server.born_ms);
+        }
         return server_change::none;
     }
     if (!is_leaving(server.state) || server.born_ms < latest_born_ms_)
@@ -158,11 +203,14 @@
     const bool same_start =
         server_ && server_->id == server.id && server_->born_ms <= server.born_ms;
     if (server_ && (!same_start || is_leaving(server_->state)))
+    {
+        if (server.state == server_state::gone && server.born_ms != 0)
+            note_left(server.id, server.born_ms);
         return server_change::none;
+    }
     latest_born_ms_ = std::max(latest_born_ms_, server.born_ms);
-    left_wall_ms_ = wall_ms;
     server_ = server;
-    return server_change::leaving;
+    return leave(server.state, wall_ms);
 }
 
 server_change server_tracker::on_no_answer()
@@ -177,7 +225,7 @@
                                                      slot_count assumed_slots,
                                                      time_point now)
 {
-    if (!server_)
+    if (!server_ && left_until_.count(id) == 0)
     {
         server_record found;
         found.id = id;
@@ -187,7 +235,7 @@
         found.born_ms = latest_born_ms_;
         return start_tracking(found, now);
     }
-    if (server_->id != id || !suspected_)
+    if (!server_ || server_->id != id || !suspected_)
         return server_change::none;
     last_seen_ = now;
     suspected_ = false;
--- a/src/gateway/server_tracker_test.cpp
+++ b/src/gateway/server_tracker_test.cpp
@@ -156,6 +156,33 @@
     }
 }
 
+// Guards against departures that are acknowledged and have no effect, as their start is
+// not the one that the process knows, or as it knows none.
+Test(server_tracker, binds_each_departure_whatever_is_known)
+{
+    server_tracker checked(tills, heartbeat_interval);
+    checked.on_health_check_passed(instance_id("a"), slot_count(16), start);
+    cr_expect(checked.on_departure({instance_id("a"), 900}, start, wall_ms) ==
+              server_change::leaving);
+    checked.on_heartbeat(make_heartbeat("a", 900, 5), start);
+    cr_expect(!checked.accepts());
+
+    server_tracker behind(tills, heartbeat_interval);
+    behind.on_heartbeat(make_heartbeat("a", 10, 1), start);
+    cr_expect(behind.on_departure({instance_id("b"), 900}, start, wall_ms) ==
+              server_change::leaving);
+    behind.on_heartbeat(make_heartbeat("b", 900, 5), start);
+    cr_expect(!behind.accepts());
+
+    server_tracker other(tills, heartbeat_interval);
+    other.on_health_check_passed(instance_id("a"), slot_count(16), start);
+    other.on_departure({instance_id("b"), std::nullopt}, start, wall_ms);
+    cr_expect(other.accepts());
+    cr_expect(other.on_heartbeat(make_heartbeat("b", 900, 5), start) ==
+              server_change::stale);
+    cr_expect_str_eq(other.server()->id.get().c_str(), "a");
+}
+
 // If a clock was set back, a new start may appear older than the departure. A peer's
 // record of the start that has left must resolve this.
 Test(server_tracker, accepts_the_departed_start_from_a_peer)
--- a/src/include/fescueridge/gateway/server_tracker.hpp
+++ b/src/include/fescueridge/gateway/server_tracker.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <optional>
 
 #include "fescueridge/base/clock.hpp"
@@ -42,9 +43,9 @@
 
     server_change on_heartbeat(const server_heartbeat& heartbeat, time_point now);
 
-    /// Records the departure of a server. If the departure does not identify the start
-    /// that ends, a start later than `wall_ms`, the wall-clock time of this VM, counts as
-    /// a new one.
+    /// Records the departure of a server, whether or not its start is the tracked one. If
+    /// the departure does not identify the start that ends, a start later than `wall_ms`,
+    /// the wall-clock time of this VM, counts as a new one.
     server_change on_departure(const server_departure& departure, time_point now,
                                std::int64_t wall_ms);
 
@@ -83,13 +84,18 @@
     server_change start_tracking(const server_record& server, time_point now);
     server_change leave(server_state state, std::int64_t wall_ms);
     bool left_with_unknown_start(const instance_id& id) const;
-    void set_start_that_left(std::int64_t born_ms);
+    bool is_later_start(const instance_id& id, std::int64_t born_ms) const;
+    bool has_left(const instance_id& id, std::int64_t born_ms) const;
+    void note_left(const instance_id& id, std::int64_t until_ms);
+    void set_start(std::int64_t born_ms);
 
     service_name service_;
     milliseconds heartbeat_interval_;
     std::optional<server_record> server_;
     std::int64_t latest_born_ms_ = 0;
-    std::int64_t left_wall_ms_ = 0; ///< Wall-clock time when the departure arrived.
+    /// For each id, the wall-clock time up to which its starts have left. Kept apart from
+    /// the tracked server: a departure binds whatever is known when it arrives.
+    std::map<instance_id, std::int64_t> left_until_;
     time_point last_seen_{};
     bool suspected_ = false;
 };
