Turn away what waits for a server that is first heard of as leaving

Cause: the first heartbeat that a process hears of a start counted as a start whatever its state, so that requests that waited in the queue stayed there. Change: such a heartbeat counts as leaving. Measured: reports_a_start_that_leaves_as_leaving failed before.

--- a/src/gateway/server_tracker.cpp
+++ b/src/gateway/server_tracker.cpp
@@ -66,6 +66,8 @@
     latest_born_ms_ = std::max(latest_born_ms_, server.born_ms);
     last_seen_ = now;
     suspected_ = false;
+    if (is_leaving(server.state))
+        return server_change::leaving;
     return new_start ? server_change::started : server_change::ready;
 }
 
--- a/src/gateway/server_tracker_test.cpp
+++ b/src/gateway/server_tracker_test.cpp
@@ -183,6 +183,16 @@
     cr_expect_str_eq(other.server()->id.get().c_str(), "a");
 }
 
+// Guards against requests that stay queued at a server whose first announcement to this
+// process says that it leaves.
+Test(server_tracker, reports_a_start_that_leaves_as_leaving)
+{
+    server_tracker tracker(tills, heartbeat_interval);
+    tracker.on_health_check_passed(instance_id("a"), slot_count(16), start);
+    cr_expect(tracker.on_heartbeat(make_heartbeat("a", 10, 4, server_state::draining),
+                                   start) == server_change::leaving);
+}
+
 // If a clock was set back, a new start may appear older than the departure. A peer's
 // record of the start that has left must resolve this.
 Test(server_tracker, accepts_the_departed_start_from_a_peer)
