Give an answer that names no request to nobody on a reused connection

Cause: an answer without Request-Id passed for that of the waiting request, and a 2xx without the server's mark passed for a success. Change: the client pool tells the filter whether the connection was used before; an unnamed answer on a used one is dropped and the next is read. A 2xx without the mark counts as broken off: 502, or another server for a request that may be repeated. The last check of ignores_records_of_another_service announces a ready server now, as one that leaves no longer counts as started.

--- a/src/gateway/run_executor.cpp
+++ b/src/gateway/run_executor.cpp
@@ -382,8 +382,9 @@
             if (*alive)
                 on_result(number, std::move(result));
         },
-        [this, alive = alive_, id = started.call.request](const http_response& answer)
-        { return !*alive || wire_.belongs_to(answer, id); });
+        [this, alive = alive_, id = started.call.request](const http_response& answer,
+                                                          connection_use use)
+        { return !*alive || wire_.belongs_to(answer, id, use); });
 }
 
 void run_executor::start_and_drop(const dequeued_runs& dequeued)
--- a/src/gateway/run_executor_answers.cpp
+++ b/src/gateway/run_executor_answers.cpp
@@ -41,6 +41,11 @@
         log_run(log_event::run_failed, ended, "says_not_run_without_mark");
         return fail_run(number, forward_result::unknown,
                         forward_failure::server_broke_off, true);
+    case server_verdict::unmarked_success:
+        ++counters_.broken_off;
+        log_run(log_event::run_failed, ended, "success_without_mark");
+        return fail_run(number, forward_result::unknown,
+                        forward_failure::server_broke_off, false);
     case server_verdict::answered:
         break;
     }
--- a/src/gateway/server_tracker_test.cpp
+++ b/src/gateway/server_tracker_test.cpp
@@ -223,6 +223,7 @@
     cr_expect(tracker.on_heartbeat(make_heartbeat("a", 10, 2), start) ==
               server_change::none);
     cr_expect(tracker.accepts());
+    foreign.server.state = server_state::ready;
     cr_expect(tracker.set_service(foreign.server.service) == server_change::leaving);
     cr_expect(tracker.on_heartbeat(foreign, start) == server_change::started);
 }
--- a/src/include/fescueridge/gateway/wire_format.hpp
+++ b/src/include/fescueridge/gateway/wire_format.hpp
@@ -7,6 +7,7 @@
 
 #include "fescueridge/gateway/routing_config.hpp"
 #include "fescueridge/transport/http.hpp"
+#include "fescueridge/transport/http_client_pool.hpp"
 
 namespace fescueridge::gateway
 {
@@ -26,7 +27,8 @@
     not_run,      ///< The server rejected the request without running it.
     wrong_server, ///< Another start of a server has the address; the request was not run.
     /// The answer claims that the request was not run but lacks the server's mark.
-    unmarked_not_run
+    unmarked_not_run,
+    unmarked_success ///< The answer is a success but lacks the server's mark.
 };
 
 /// What a backend server states about itself in any of its answers.
@@ -99,8 +101,10 @@
                                              const instance_id& server,
                                              milliseconds time_left) const = 0;
 
-    /// Returns whether an answer on a connection belongs to the request.
-    virtual bool belongs_to(const http_response& answer, const request_id& id) const = 0;
+    /// Returns whether an answer on a connection belongs to the request. One that names
+    /// no request does only if it can be no other's.
+    virtual bool belongs_to(const http_response& answer, const request_id& id,
+                            connection_use use) const = 0;
 
     /// Returns the outcome of the request according to an answer. An answer that does not
     /// name the request never proves that it was not run: the server may have written an
--- a/src/include/fescueridge/transport/http_client_pool.hpp
+++ b/src/include/fescueridge/transport/http_client_pool.hpp
@@ -98,9 +98,16 @@
     std::size_t max_buffered_bytes = 0;
 };
 
+/// Whether an answer can be a late one to an earlier request.
+enum class connection_use : std::uint8_t
+{
+    first_request, ///< The connection has carried no request before.
+    reused
+};
+
 /// Tells whether an answer belongs to the request that waits on its connection. One that
 /// does not is dropped, and the next one is read.
-using answer_filter = std::function<bool(const http_response&)>;
+using answer_filter = std::function<bool(const http_response&, connection_use)>;
 
 /// Connections to one endpoint. Never holds more than `limit` connections, those being
 /// opened included. A connection that saw a timeout, a cut, a partial or malformed answer
--- a/src/transport/client_connection.cpp
+++ b/src/transport/client_connection.cpp
@@ -241,13 +241,14 @@
 void client_connection::on_answer(bool reusable, const char* rest, std::size_t size)
 {
     auto response = parser_.take_response();
-    if (call_->belongs_ && !call_->belongs_(response))
+    if (call_->belongs_ && !call_->belongs_(response, use_))
     {
         if (!parser_.keep_alive())
             return fail(http_failure_kind::cut, true,
                         "answer belongs to another request");
         return skip_answer(rest, size);
     }
+    use_ = connection_use::reused;
     release_buffered();
     const auto call = std::exchange(call_, nullptr);
     note_idle_timeout(response);
