Answer every request of a connection at a stop before closing it

Cause: the server closed with the next answer, whatever was handed over. Change: no further request is taken, and the last one that was handed over closes the connection. Measured: answers_all_requests_of_a_connection_at_a_stop failed before.

--- a/src/transport/http_server_test.cpp
+++ b/src/transport/http_server_test.cpp
@@ -328,6 +328,46 @@
     cr_expect(eventually([&] { return server.open_exchanges() == 0; }));
 }
 
+// Guards against a stop that drops requests which the handler has, as the answer to the
+// first one of their connection closes it.
+Test(http_server, answers_all_requests_of_a_connection_at_a_stop)
+{
+    io_threads threads;
+    std::mutex mutex;
+    std::vector<std::shared_ptr<http_exchange>> held;
+    http_server_options options;
+    options.max_pipelined = 3;
+    http_server server(
+        threads.io, any_port,
+        [&](const http_request&, std::shared_ptr<http_exchange> exchange)
+        {
+            const std::lock_guard lock(mutex);
+            held.push_back(std::move(exchange));
+        },
+        options);
+    raw_peer peer(server.bound());
+    peer.send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\nGET /3 HTTP/1.1\r\n\r\n"
+              "GET /4 HTTP/1.1\r\n\r\n");
+    cr_assert(eventually(
+        [&]
+        {
+            const std::lock_guard lock(mutex);
+            return held.size() == 3;
+        }));
+    server.close_after_answers();
+    for (const auto& exchange : held)
+        exchange->respond({200, {}, "x"});
+    const auto answers = peer.read_all();
+    std::size_t count = 0;
+    for (auto at = answers.find("200 OK"); at != std::string::npos;
+         at = answers.find("200 OK", at + 1))
+        ++count;
+    cr_expect_eq(count, 3U, "got: %s", answers.c_str());
+    const auto close = answers.find("Connection: close");
+    cr_expect(close != std::string::npos && close > answers.rfind("200 OK"));
+    cr_expect_eq(held.size(), 3U, "no request is taken after the stop");
+}
+
 // Guards against idle connections using up the descriptors of a node.
 Test(http_server, closes_connections_that_stay_idle)
 {
--- a/src/transport/server_connection.cpp
+++ b/src/transport/server_connection.cpp
@@ -188,8 +188,10 @@
 void server_connection::write(const pending_answer& answer)
 {
     writing_ = true;
-    const bool keep_alive = answer.keep_alive && server_->keep_alive_;
-    last_request_ = last_request_ || !keep_alive;
+    // Requests that were handed over get their answers before the connection closes.
+    last_request_ = last_request_ || !server_->keep_alive_;
+    const bool more_follow = pending_.size() > 1;
+    const bool keep_alive = answer.keep_alive && (!last_request_ || more_follow);
     out_ = write_response(*answer.response, keep_alive, !answer.head);
     if (out_.size() > untimed_answer)
     {
