Finish an answer that its client reads slowly

Cause: the time to write was bounded as a whole, and a node counted as idle when its router had no open request. Change: the time without progress is bounded, at twice the transfer timeout. A limit on the send buffer was tried and made no difference. The stop waits for open exchanges, up to its end.

--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -495,8 +495,9 @@
         router_.recall_waiting();
     if (passed >= stop_schedule_.answer_all)
         router_.answer_all();
-    const bool idle = router_.open_requests() == 0 && executor_.open_runs() == 0;
     const bool answers_written = request_server_->open_exchanges() == 0;
+    const bool idle =
+        answers_written && router_.open_requests() == 0 && executor_.open_runs() == 0;
     const bool out_of_time =
         passed >= (answers_written ? stop_schedule_.answer_all : stop_schedule_.end);
     if (out_of_time || (idle && passed >= stop_schedule_.reject_clients))
--- a/src/transport/http_server_test.cpp
+++ b/src/transport/http_server_test.cpp
@@ -288,6 +288,32 @@
     cr_expect(eventually([&] { return server.open_connections() == 0; }));
 }
 
+// Guards against a long answer that is cut although its peer reads it, slowly.
+Test(http_server, finishes_an_answer_that_is_read_slowly)
+{
+    constexpr std::size_t body_size = 16'000'000;
+    constexpr std::size_t piece_size = 1'000'000;
+    http_server_options options;
+    options.transfer_timeout = milliseconds(150);
+    io_threads threads;
+    http_server server(
+        threads.io, any_port,
+        [](const http_request&, const auto& exchange) {
+            exchange->respond({200, {}, std::string(body_size, 'x')});
+        },
+        options);
+    raw_peer peer(server.bound());
+    peer.send("GET /1 HTTP/1.1\r\nConnection: close\r\n\r\n");
+    std::size_t got = 0;
+    for (auto size = peer.read_up_to(piece_size); size > 0;
+         size = peer.read_up_to(piece_size))
+    {
+        got += size;
+        std::this_thread::sleep_for(milliseconds(40));
+    }
+    cr_expect(got > body_size, "got %zu bytes", got);
+}
+
 // Guards against requests of one connection waiting for each other, and against answers
 // in another order than the requests.
 Test(http_server, runs_pipelined_requests_together_and_answers_in_order)
--- a/src/transport/server_connection.cpp
+++ b/src/transport/server_connection.cpp
@@ -18,6 +18,10 @@
 /// can wait for the peer and need a timer.
 constexpr std::size_t untimed_answer = std::size_t{64} * 1024;
 
+/// Transfer timeouts for which a peer may take no byte. The window of a slow peer opens
+/// in steps of a sixteenth of its receive buffer, which may be several megabytes.
+constexpr int transfer_timeouts_without_progress = 2;
+
 http_fault_kind fault_of(parse_status status)
 {
     switch (status)
@@ -193,22 +197,36 @@
     const bool more_follow = pending_.size() > 1;
     const bool keep_alive = answer.keep_alive && (!last_request_ || more_follow);
     out_ = write_response(*answer.response, keep_alive, !answer.head);
+    pending_.front()->keep_alive = keep_alive;
+    written_bytes_ = 0;
+    write_rest();
+}
+
+void server_connection::write_rest()
+{
     if (out_.size() > untimed_answer)
-    {
-        write_timer_.expires_after(server_->transfer_timeout());
-        write_timer_.async_wait(
-            [self = shared_from_this()](asio::error_code ec)
-            {
-                if (!ec && self->writing_)
-                    self->lost();
-            });
-    }
-    asio::async_write(
-        socket_, asio::buffer(out_),
-        [self = shared_from_this(), keep_alive](asio::error_code ec, std::size_t)
+        start_write_timer();
+    socket_.async_write_some(
+        asio::buffer(out_) + written_bytes_,
+        [self = shared_from_this()](asio::error_code ec, std::size_t size)
+        {
+            self->written_bytes_ += size;
+            if (ec || self->closed_ || self->written_bytes_ == self->out_.size())
+                return self->on_written(ec);
+            self->write_rest();
+        });
+}
+
+// Bounds the time without progress: a peer that reads slowly gets its whole answer.
+void server_connection::start_write_timer()
+{
+    write_timer_.expires_after(transfer_timeouts_without_progress *
+                               server_->transfer_timeout());
+    write_timer_.async_wait(
+        [self = shared_from_this()](asio::error_code ec)
         {
-            self->pending_.front()->keep_alive = keep_alive;
-            self->on_written(ec);
+            if (!ec && self->writing_)
+                self->lost();
         });
 }
 
--- a/src/transport/server_connection.hpp
+++ b/src/transport/server_connection.hpp
@@ -136,6 +136,8 @@
     void refuse(http_fault_kind kind, const std::string& problem);
     void write_next();
     void write(const pending_answer& answer);
+    void write_rest();
+    void start_write_timer();
     void on_written(asio::error_code ec);
     void lost();
     void end_exchange(const pending_answer& answer);
@@ -154,6 +156,7 @@
     message_parser parser_;
     std::string ahead_;
     std::string out_;
+    std::size_t written_bytes_ = 0; ///< Of out_.
     std::deque<pending_ptr> pending_;
     endpoint peer_;
     read_phase phase_ = read_phase::none;
--- a/src/transport/test_support.hpp
+++ b/src/transport/test_support.hpp
@@ -103,6 +103,14 @@
         return got;
     }
 
+    /// Reads what has come, at most `size` bytes; returns 0 when the connection ends.
+    std::size_t read_up_to(std::size_t size)
+    {
+        std::string got(size, '\0');
+        asio::error_code ec;
+        return socket_.read_some(asio::buffer(got), ec);
+    }
+
     void close() { socket_.close(); }
 
 private:
