Read request heads as RFC 9112 asks and keep the fields that the protocol needs

Callers saw: a request with "Connection: Request-Id, Host" reached its server without its id and was answered 504 (UNASKED: a run whose id no client sent). White space before a field's colon was accepted, so that the name could pass a filter that the next hop reads in another way. Cause: every field that a client lists in Connection was removed; field names and repeated statements of the length were left to the parser. Change: fields that identify a request, its server or its outcome stay. White space before a colon and a second statement of the length get 400, and the connection ends; in a server's answer the white space is removed. The product's own entry removes what Connection lists, too. Measured: refuses_ambiguous_heads did not end before: the server took such a request and kept the connection.

--- a/src/gateway/request_router.cpp
+++ b/src/gateway/request_router.cpp
@@ -86,7 +86,8 @@
     message.authority = std::move(head.authority);
     message.headers = std::move(raw.headers);
     message.body = std::move(raw.body);
-    remove_hop_headers(message.headers);
+    remove_hop_headers(message.headers, [this](std::string_view name)
+                       { return wire_.is_end_to_end(name); });
     wire_.remove_reserved_fields(message.headers);
     if (rejecting_clients_ && !message.from_server)
         return reject(request, rejection::stopping);
--- a/src/gateway/run_executor_answers.cpp
+++ b/src/gateway/run_executor_answers.cpp
@@ -56,7 +56,8 @@
     forward_reply_message reply = make_reply(forward_result::answered, {});
     reply.status = answer.status;
     reply.headers = std::move(answer.headers);
-    remove_hop_headers(reply.headers);
+    remove_hop_headers(reply.headers, [this](std::string_view name)
+                       { return wire_.is_end_to_end(name); });
     reply.body = std::move(answer.body);
     finish_run(number, std::move(reply), true);
 }
--- a/src/include/fescueridge/gateway/wire_format.hpp
+++ b/src/include/fescueridge/gateway/wire_format.hpp
@@ -93,6 +93,10 @@
     virtual client_request_head
     read_client_request(const http_request& request) const = 0;
 
+    /// Returns whether the protocol needs a field of this name from end to end, so that a
+    /// Connection field cannot remove it.
+    virtual bool is_end_to_end(std::string_view field) const = 0;
+
     /// Removes header fields that only the gateway may set.
     virtual void remove_reserved_fields(std::vector<header_field>& headers) const = 0;
 
--- a/src/include/fescueridge/transport/http.hpp
+++ b/src/include/fescueridge/transport/http.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -55,8 +56,12 @@
 /// Compares two field names without regard to case.
 bool same_field_name(std::string_view a, std::string_view b) noexcept;
 
+/// Tells whether a field must reach the other end, by its name.
+using end_to_end_field = std::function<bool(std::string_view)>;
+
 /// Removes the fields that concern one connection only: those of is_hop_header() and
-/// those that a Connection field lists.
-void remove_hop_headers(std::vector<header_field>& headers);
+/// those that a Connection field lists, except the fields that must reach the other end.
+void remove_hop_headers(std::vector<header_field>& headers,
+                        const end_to_end_field& is_kept);
 
 } // namespace fescueridge
--- a/src/include/fescueridge/transport/http_server.hpp
+++ b/src/include/fescueridge/transport/http_server.hpp
@@ -73,9 +73,9 @@
     /// Larger requests are refused with 431 or 413.
     message_limits limits;
 
-    /// Longest time from the first byte of a request to its last one, and for which a
-    /// peer may take no byte of an answer. Without it a peer that stops in the middle
-    /// holds its connection and up to limits.body bytes for ever.
+    /// Longest time from the first byte of a request to its last one. A peer may take no
+    /// byte of an answer for twice that. Without it a peer that stops in the middle holds
+    /// its connection and up to limits.body bytes for ever.
     milliseconds transfer_timeout{30'000};
 
     /// Time after which a connection without a request is closed; 0 for none.
--- a/src/node/call_ports.cpp
+++ b/src/node/call_ports.cpp
@@ -148,14 +148,12 @@
 /// and headers that only nodes may set.
 std::vector<header_field> forwarded_headers(const std::vector<header_field>& headers)
 {
-    std::vector<header_field> result;
-    for (const header_field& header : headers)
-    {
-        if (!is_reserved_header(header.name) && !is_hop_header(header.name))
-        {
-            result.push_back(header);
-        }
-    }
+    std::vector<header_field> result = headers;
+    remove_hop_headers(result, [](std::string_view /*name*/) { return false; });
+    result.erase(std::remove_if(result.begin(), result.end(),
+                                [](const header_field& header)
+                                { return is_reserved_header(header.name); }),
+                 result.end());
     return result;
 }
 
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -71,7 +71,8 @@
 
 } // namespace
 
-void remove_hop_headers(std::vector<header_field>& headers)
+void remove_hop_headers(std::vector<header_field>& headers,
+                        const end_to_end_field& is_kept)
 {
     std::vector<std::string> listed;
     for (const auto& field : headers)
@@ -80,10 +81,12 @@
                 listed.push_back(std::move(name));
     const auto concerns_connection = [&](const header_field& field)
     {
-        return is_hop_header(field.name) ||
-               std::any_of(listed.begin(), listed.end(),
-                           [&](const std::string& name)
-                           { return same_field_name(name, field.name); });
+        if (is_hop_header(field.name))
+            return true;
+        const bool is_listed = std::any_of(listed.begin(), listed.end(),
+                                           [&](const std::string& name)
+                                           { return same_field_name(name, field.name); });
+        return is_listed && !is_kept(field.name);
     };
     headers.erase(std::remove_if(headers.begin(), headers.end(), concerns_connection),
                   headers.end());
--- a/src/transport/http_message.cpp
+++ b/src/transport/http_message.cpp
@@ -194,6 +194,16 @@
 {
     constexpr int skip_body = 1;
     parser_.upgrade = 0;
+    if (!accept_field_names())
+    {
+        fail(parse_status::malformed, "white space before the colon of a field");
+        return refuse;
+    }
+    if (states_framing_twice())
+    {
+        fail(parse_status::malformed, "more than one statement of the length");
+        return refuse;
+    }
     if (lacks_length())
     {
         fail(parse_status::malformed, "answer does not state its length");
@@ -212,6 +222,35 @@
     return 0;
 }
 
+/// Applies RFC 9112, section 5.1: white space between the name of a field and its colon
+/// makes a request malformed and is removed from an answer.
+bool message_parser::accept_field_names()
+{
+    constexpr const char* white_space = " \t";
+    for (auto& field : headers_)
+    {
+        const auto last = field.name.find_last_not_of(white_space);
+        if (last == std::string::npos || last + 1 == field.name.size())
+            continue;
+        if (type_ == HTTP_REQUEST)
+            return false;
+        field.name.resize(last + 1);
+    }
+    return true;
+}
+
+bool message_parser::states_framing_twice() const
+{
+    const auto count =
+        std::count_if(headers_.begin(), headers_.end(),
+                      [](const header_field& field)
+                      {
+                          return same_field_name(field.name, "Content-Length") ||
+                                 same_field_name(field.name, "Transfer-Encoding");
+                      });
+    return type_ == HTTP_REQUEST && count > 1;
+}
+
 bool message_parser::lacks_length() const
 {
     if (type_ != HTTP_RESPONSE || head_answer_ ||
--- a/src/transport/http_message.hpp
+++ b/src/transport/http_message.hpp
@@ -85,6 +85,8 @@
 
     int headers_complete();
     bool take_header_bytes(std::size_t size);
+    bool accept_field_names();
+    bool states_framing_twice() const;
     bool lacks_length() const;
     parse_status fail(parse_status status, std::string problem);
 
--- a/src/transport/http_server_test.cpp
+++ b/src/transport/http_server_test.cpp
@@ -76,6 +76,28 @@
                    "400", http_fault_kind::malformed);
 }
 
+// Guards against fields that the next hop reads in another way, and against requests that
+// are smuggled behind a second framing.
+Test(http_server, refuses_ambiguous_heads, .timeout = 20)
+{
+    const std::vector<std::string> heads = {
+        "Caller-Service : x",
+        "Content-Length : 3",
+        "Content-Length\t: 3",
+        "Transfer-Encoding : chunked",
+        "Content-Length: 3\r\nContent-Length: 3",
+        "Content-Length: 3\r\nContent-Length: 4",
+        "Content-Length: 3, 3",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 3",
+        "Transfer-Encoding: gzip, chunked, identity",
+        "Transfer-Encoding: xchunked",
+    };
+    for (const auto& head : heads)
+        expect_refusal("POST / HTTP/1.1\r\n" + head + "\r\n\r\n0\r\n\r\n", "400",
+                       http_fault_kind::malformed);
+}
+
 // Guards against a body over the limit being read, with and without a stated length.
 Test(http_server, answers_413_to_a_body_over_the_limit)
 {
