Take what came from the log as lost when it is restored

Cause: in a drill the log comes back from a copy some seconds old and gives offsets out again. A node went on reading at its old offset, missed what took its place, and did not write its own record again.

The configuration in force and acknowledged departures stay. freshness.hpp lists the belief.

--- a/src/gateway/cluster_records.cpp
+++ b/src/gateway/cluster_records.cpp
@@ -41,6 +41,15 @@
     read_call_edges();
 }
 
+void cluster_records::on_log_restored()
+{
+    if (withdrawn_)
+        return;
+    publish_timer_.cancel();
+    publish_node_record();
+    nodes_->restart();
+}
+
 void cluster_records::stop()
 {
     publish_timer_.cancel();
--- a/src/gateway/decision_log.cpp
+++ b/src/gateway/decision_log.cpp
@@ -52,6 +52,8 @@
         return "log_lost";
     case log_event::log_regained:
         return "log_regained";
+    case log_event::log_restored:
+        return "log_restored";
     case log_event::log_append_failed:
         return "log_append_failed";
     case log_event::records_unreadable:
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -50,6 +50,7 @@
     peer_callbacks make_peer_callbacks();
     cluster_callbacks make_cluster_callbacks();
     void start_following();
+    void on_log_restored();
 
     void configure_executor();
     void apply_config(const std::string& content, const char* source);
@@ -276,10 +277,21 @@
         io_, log_, decisions_, settings_.config_topic, std::move(config_callbacks),
         read_delay{}, freshness::probe_timing::for_config(settings_.bounds.config_apply));
     router_.set_config_age([this] { return config_follower_->unconfirmed_for(); });
+    log_.on_restored([this] { on_log_restored(); });
     config_follower_->start();
     records_.start();
 }
 
+// The configuration in force stays: versions that are not newer are ignored.
+void gateway_node::impl::on_log_restored()
+{
+    if (finished_)
+        return;
+    decisions_.record(log_event::log_restored);
+    config_follower_->restart();
+    records_.on_log_restored();
+}
+
 // Ignores versions that are not newer than the current one, such as those from a slower
 // source.
 void gateway_node::impl::apply_config(const std::string& content, const char* source)
--- a/src/gateway/topic_follower.cpp
+++ b/src/gateway/topic_follower.cpp
@@ -53,6 +53,17 @@
     timer_.cancel();
 }
 
+void topic_follower::restart()
+{
+    if (stopped_)
+        return;
+    ++restarts_;
+    abandon_waiting_read();
+    next_offset_ = log_offset(0);
+    next_read_delay_ = read_delay_.first;
+    list_keys({});
+}
+
 void topic_follower::list_keys(const std::string& after)
 {
     list_after_key_ = after;
@@ -61,7 +72,7 @@
         [weak = weak_from_this(), chain = chain_](log_result<newest_page> result)
         {
             const auto self = weak.lock();
-            if (!self || self->stopped_ || self->chain_ != chain)
+            if (!self || !self->is_current(chain))
                 return;
             if (const auto* failure = std::get_if<log_failure>(&result))
                 return self->on_failure(*failure, true);
@@ -92,7 +103,7 @@
               [weak = weak_from_this(), chain = chain_](log_result<record_batch> result)
               {
                   const auto self = weak.lock();
-                  if (!self || self->stopped_ || self->chain_ != chain)
+                  if (!self || !self->is_current(chain))
                       return;
                   if (const auto* failure = std::get_if<log_failure>(&result))
                       return self->on_failure(*failure, false);
@@ -228,12 +239,15 @@
     if (retry_scheduled_)
         return schedule_probe(next_probe_delay());
     log_.read(topic_, next_offset_, milliseconds{0}, probe_timeout_,
-              [weak = weak_from_this(),
+              [weak = weak_from_this(), restarts = restarts_,
                sent_at = clock::now()](const log_result<record_batch>& result)
               {
                   const auto self = weak.lock();
-                  if (self && !self->stopped_)
-                      self->on_probe(result, sent_at);
+                  if (!self || self->stopped_)
+                      return;
+                  if (self->restarts_ != restarts)
+                      return self->schedule_probe(self->next_probe_delay());
+                  self->on_probe(result, sent_at);
               });
 }
 
--- a/src/include/fescueridge/gateway/cluster_records.hpp
+++ b/src/include/fescueridge/gateway/cluster_records.hpp
@@ -35,6 +35,10 @@
     /// stored calls.
     void start();
 
+    /// Writes this node's record again and lists the others anew, because the log was
+    /// restored from an earlier copy. The estimated calls are written again in turn.
+    void on_log_restored();
+
     /// Stores the estimated calls.
     void write_call_edges(const std::vector<call_edge>& calls);
 
--- a/src/include/fescueridge/gateway/decision_log.hpp
+++ b/src/include/fescueridge/gateway/decision_log.hpp
@@ -24,6 +24,7 @@
     config_unusable,
     log_lost,
     log_regained,
+    log_restored,
     log_append_failed,
     records_unreadable,
     peer_connected,
--- a/src/include/fescueridge/gateway/freshness.hpp
+++ b/src/include/fescueridge/gateway/freshness.hpp
@@ -21,6 +21,10 @@
 ///   health check asks for one.
 /// - The own server is alive. Confirmed by a heartbeat and, while requests run, by an
 ///   answer; else it must pass a health check before it gets more requests.
+/// - What came from the log still stands there: offsets, this node's record, the list of
+///   nodes, the estimated calls. Confirmed by the era in each answer of the log; when it
+///   rises, topics are listed anew and own records are written again. The configuration
+///   in force and acknowledged departures stay.
 ///
 /// Requests have their deadlines as bounds; the transport bounds the opening of a
 /// connection.
--- a/src/include/fescueridge/gateway/keyed_log.hpp
+++ b/src/include/fescueridge/gateway/keyed_log.hpp
@@ -91,6 +91,25 @@
     virtual void append(const topic_name& topic, const keyed_record& record,
                         milliseconds timeout,
                         std::function<void(log_result<append_receipt>)> done) = 0;
+
+    /// Sets the function that is called when the log has come back from an earlier copy:
+    /// what it acknowledged of late is gone and its offsets are given out again. It is
+    /// called before any answer of the restored log is delivered; answers of the log
+    /// before end as failures from then on.
+    void on_restored(std::function<void()> callback)
+    {
+        restored_callback_ = std::move(callback);
+    }
+
+protected:
+    void notify_restored() const
+    {
+        if (restored_callback_)
+            restored_callback_();
+    }
+
+private:
+    std::function<void()> restored_callback_;
 };
 
 } // namespace fescueridge::gateway
--- a/src/include/fescueridge/gateway/topic_follower.hpp
+++ b/src/include/fescueridge/gateway/topic_follower.hpp
@@ -50,6 +50,9 @@
     void start();
     void stop();
 
+    /// Lists the keys anew, because the log was restored and the offset is not valid.
+    void restart();
+
     /// Returns the time since the last confirmation that no record is missing.
     milliseconds unconfirmed_for() const { return clock::now() - confirmed_at_; }
 
@@ -75,6 +78,7 @@
     void schedule_probe(milliseconds delay);
     void probe();
     void on_probe(const log_result<record_batch>& result, time_point sent_at);
+    bool is_current(std::uint64_t chain) const { return !stopped_ && chain_ == chain; }
     milliseconds next_probe_delay();
     void abandon_waiting_read();
     void schedule_retry(const std::function<void()>& next);
@@ -90,8 +94,9 @@
     asio::steady_timer timer_;
     asio::steady_timer probe_timer_;
     log_offset next_offset_;
-    time_point confirmed_at_; ///< Last confirmation; the start before the first one.
-    std::uint64_t chain_ = 0; ///< Number of the current sequence of waiting reads.
+    time_point confirmed_at_;    ///< Last confirmation; the start before the first one.
+    std::uint64_t chain_ = 0;    ///< Number of the current sequence of waiting reads.
+    std::uint64_t restarts_ = 0; ///< A probe sent before the last one proves nothing.
     milliseconds retry_pause_{0};
     bool retry_scheduled_ = false;
     milliseconds probe_timeout_{0}; ///< Doubles with each probe that times out.
