Fail answers whose status is not three digits from 100

Cause: http-parser gives the number of a status only, so an answer "000" of a server in trouble was passed on to the client, as were 99 and 0200.

Change: the parser keeps the start of the status line of an answer and takes one with another status as malformed. The request may have run: the client gets 502, or an idempotent request goes to another server.

--- a/src/transport/http_client_pool_test.cpp
+++ b/src/transport/http_client_pool_test.cpp
@@ -386,3 +386,17 @@
     cr_expect_eq(calls, count);
     cr_expect_eq(wrong, 0);
 }
+
+// A server in trouble may send a status that no answer can have; a client must not get it
+// as one.
+Test(http_client_pool, fails_answers_without_a_valid_status)
+{
+    for (const std::string status : {"000", "099", "99", "20", "0200", "1", "007", "2000"})
+    {
+        const auto seen =
+            failure_after("HTTP/1.1 " + status + " OK\r\nContent-Length: 0\r\n\r\n");
+        cr_expect(seen.kind == http_failure_kind::malformed, "status %s: %s",
+                  status.c_str(), seen.detail.c_str());
+        cr_expect(seen.sent);
+    }
+}
--- a/src/transport/http_message.cpp
+++ b/src/transport/http_message.cpp
@@ -16,6 +16,9 @@
 
 constexpr std::uint64_t no_content_length = ~std::uint64_t{0};
 
+/// Position behind the status in "HTTP/1.1 200 OK".
+constexpr std::size_t status_end = 12;
+
 bool has_control_character(std::string_view text)
 {
     return std::any_of(text.begin(), text.end(),
@@ -85,6 +88,7 @@
     expects_continue_ = false;
     header_bytes_ = 0;
     problem_.clear();
+    status_line_.clear();
     target_.clear();
     headers_.clear();
     body_.clear();
@@ -96,6 +100,7 @@
     if (status_ != parse_status::need_more || size == 0)
         return status_;
     started_ = true;
+    keep_status_line(data, size);
     used = http_parser_execute(&parser_, &settings(), data, size);
     if (status_ != parse_status::need_more)
         return status_;
@@ -204,6 +209,11 @@
         fail(parse_status::malformed, "more than one statement of the length");
         return refuse;
     }
+    if (!has_valid_status())
+    {
+        fail(parse_status::malformed, "status is not a number of three digits from 100");
+        return refuse;
+    }
     if (lacks_length())
     {
         fail(parse_status::malformed, "answer does not state its length");
@@ -251,6 +261,27 @@
     return type_ == HTTP_REQUEST && count > 1;
 }
 
+// http-parser gives the number only, and takes any count of digits.
+void message_parser::keep_status_line(const char* data, std::size_t size)
+{
+    const std::string_view bytes(data, type_ == HTTP_RESPONSE ? size : 0);
+    std::size_t at = status_line_.empty() ? bytes.find_first_not_of("\r\n") : 0;
+    for (; at < bytes.size() && status_line_.size() <= status_end; ++at)
+        status_line_.push_back(bytes[at]);
+}
+
+bool message_parser::has_valid_status() const
+{
+    constexpr unsigned lowest_status = 100;
+    if (type_ != HTTP_RESPONSE)
+        return true;
+    const bool ends_after_three_digits =
+        status_line_.size() > status_end &&
+        std::string_view(" \r\n").find(status_line_[status_end]) !=
+            std::string_view::npos;
+    return ends_after_three_digits && parser_.status_code >= lowest_status;
+}
+
 bool message_parser::lacks_length() const
 {
     if (type_ != HTTP_RESPONSE || head_answer_ ||
--- a/src/transport/http_message.hpp
+++ b/src/transport/http_message.hpp
@@ -88,6 +88,8 @@
     bool accept_field_names();
     bool states_framing_twice() const;
     bool lacks_length() const;
+    void keep_status_line(const char* data, std::size_t size);
+    bool has_valid_status() const;
     parse_status fail(parse_status status, std::string problem);
 
     http_parser parser_{};
@@ -102,6 +104,7 @@
     bool in_value_ = false;
     bool expects_continue_ = false;
     std::string problem_;
+    std::string status_line_; ///< The start of an answer, up to the end of its status.
     std::string target_;
     std::vector<header_field> headers_;
     std::string body_;
