Begin requests with little chance only as far as retries carry them

Cause: when the servers of a deep service turn half of their requests away, whatever their load, requests with several calls there hardly ever end well. They were never refused, failed with 500 after they had taken slots everywhere above, and the shared retries were spent evenly over all of them.

Change: nodes report the fraction that their server turns away. The plan treats the shared retries as a capacity that goes to the most important rank first, and refuses at the entry what they do not cover. The retries stay at the rate of the window before, as the budget allows. docs/design tells what was weighed.

--- a/src/codec/gateway_codec.cpp
+++ b/src/codec/gateway_codec.cpp
@@ -1,5 +1,6 @@
 #include "gateway_codec.hpp"
 
+#include <algorithm>
 #include <cmath>
 
 namespace fescueridge::detail
@@ -239,6 +240,8 @@
            to_thousandths(m.max_rate), to_thousandths(m.queue_wait_share),
            to_thousandths(m.service_ms), to_array(m.arrivals), m.with_learned ? 1 : 0,
            to_array(m.slot_times), std::move(calls));
+    if (m.rejected_share > 0)
+        append(out, to_thousandths(m.rejected_share));
 }
 
 node_report_message read_node_report(field_reader& in)
@@ -258,6 +261,8 @@
     m.with_learned = in.number<int>(0, 1) == 1;
     m.slot_times = read_slot_times(in);
     m.calls = read_calls(in);
+    if (in.has_more())
+        m.rejected_share = std::clamp(from_thousandths(in), 0.0, 1.0);
     return m;
 }
 
--- a/src/gateway/admission_plan.cpp
+++ b/src/gateway/admission_plan.cpp
@@ -10,6 +10,21 @@
 
 using demand_range = std::pair<std::size_t, std::size_t>;
 
+/// Probability of success from which a request is begun without retries for its calls.
+constexpr double fair_chance = 0.3;
+
+/// Fraction of the requests with little chance that begin all the same, so that the
+/// recovery of a service is noticed.
+constexpr double probe_share = 0.02;
+
+/// Fraction of the shared retries that the plan hands out. Retries are needed in bursts,
+/// and one that is missing loses its whole request.
+constexpr double planned_retries = 0.6;
+
+/// Rejected fraction above which a service counts as one that serves nothing: the retries
+/// that a call needs would grow without bound.
+constexpr double max_rejected_share = 0.95;
+
 /// Sort key of a class for the allocation of capacity.
 std::pair<priority, bool> allocation_key(const class_demand& demand)
 {
@@ -46,8 +61,10 @@
     return found == demand.need.end() ? 1 : found->second;
 }
 
-void admit_group(const std::vector<class_demand>& demands, const demand_range& group,
-                 service_capacity& remaining, class_shares& shares)
+/// Sets the shares of a group to what the remaining capacity covers.
+void limit_by_capacity(const std::vector<class_demand>& demands,
+                       const demand_range& group, const service_capacity& remaining,
+                       class_shares& shares)
 {
     const auto covered_fraction = covered_fractions(demands, group, remaining);
     for (std::size_t i = group.first; i < group.second; ++i)
@@ -61,19 +78,103 @@
                     share, std::max(found->second, 1 - need_of(demands[i], service)));
         }
         shares[demands[i].request_class] = share;
+    }
+}
+
+void take_capacity(const std::vector<class_demand>& demands, const demand_range& group,
+                   const class_shares& shares, service_capacity& remaining)
+{
+    for (std::size_t i = group.first; i < group.second; ++i)
+    {
+        const double admitted_per_s =
+            shares.at(demands[i].request_class) * demands[i].arrivals_per_s;
         for (const auto& [service, ms] : demands[i].costs)
         {
             const auto capacity = remaining.find(service);
             if (capacity != remaining.end())
-                capacity->second = std::max(
-                    0.0, capacity->second - share * demands[i].arrivals_per_s * ms);
+                capacity->second = std::max(0.0, capacity->second - admitted_per_s * ms);
+        }
+    }
+}
+
+using rejection_map = std::map<service_name, service_rejections>;
+
+/// Returns the retries that a request's calls need on average until each is accepted.
+std::map<service_name, double> retries_of(const class_demand& demand,
+                                          const rejection_map& rejections)
+{
+    std::map<service_name, double> retries;
+    for (const auto& [service, count] : demand.calls)
+    {
+        const auto found = rejections.find(service);
+        if (found == rejections.end() || found->second.share <= 0)
+            continue;
+        const double rejected = std::min(found->second.share, max_rejected_share);
+        retries[service] = count * rejected / (1 - rejected);
+    }
+    return retries;
+}
+
+/// Lowers the shares of the classes of a group that have little chance to what the
+/// remaining retries cover.
+void limit_by_retries(const std::vector<class_demand>& demands, const demand_range& group,
+                      rejection_map& rejections, class_shares& shares)
+{
+    std::vector<std::size_t> limited;
+    std::map<service_name, double> required_per_s;
+    for (std::size_t i = group.first; i < group.second; ++i)
+    {
+        const bool is_last_try =
+            demands[i].request_class.client_retry && demands[i].idempotent;
+        if (is_last_try || chance_of(demands[i].calls, rejections) >= fair_chance)
+            continue;
+        limited.push_back(i);
+        for (const auto& [service, retries] : retries_of(demands[i], rejections))
+            required_per_s[service] +=
+                retries * demands[i].arrivals_per_s * shares.at(demands[i].request_class);
+    }
+    std::map<service_name, double> covered_fraction;
+    for (const auto& [service, required] : required_per_s)
+        covered_fraction[service] =
+            required > 0
+                ? std::min(1.0, planned_retries * rejections.at(service).retries_per_s /
+                                    required)
+                : 1;
+    for (const std::size_t i : limited)
+    {
+        const auto retries = retries_of(demands[i], rejections);
+        double covered = 1;
+        for (const auto& [service, count] : retries)
+            covered = std::min(covered, covered_fraction.at(service));
+        double& share = shares.at(demands[i].request_class);
+        share *= std::max(covered, probe_share);
+        for (const auto& [service, count] : retries)
+        {
+            double& left = rejections.at(service).retries_per_s;
+            left = std::max(0.0, left - share * demands[i].arrivals_per_s * count /
+                                            planned_retries);
         }
     }
 }
 
 } // namespace
 
-class_shares admitted_shares(std::vector<class_demand> demands, service_capacity capacity)
+double chance_of(const std::map<service_name, double>& calls,
+                 const std::map<service_name, service_rejections>& rejections)
+{
+    double chance = 1;
+    for (const auto& [service, count] : calls)
+    {
+        const auto found = rejections.find(service);
+        if (found != rejections.end())
+            chance *=
+                std::pow(1 - std::min(found->second.share, max_rejected_share), count);
+    }
+    return chance;
+}
+
+class_shares admitted_shares(std::vector<class_demand> demands, service_capacity capacity,
+                             std::map<service_name, service_rejections> rejections)
 {
     std::stable_sort(demands.begin(), demands.end(),
                      [](const class_demand& a, const class_demand& b)
@@ -85,7 +186,10 @@
         while (last < demands.size() &&
                allocation_key(demands[last]) == allocation_key(demands[first]))
             ++last;
-        admit_group(demands, {first, last}, capacity, shares);
+        const demand_range group{first, last};
+        limit_by_capacity(demands, group, capacity, shares);
+        limit_by_retries(demands, group, rejections, shares);
+        take_capacity(demands, group, shares, capacity);
         first = last;
     }
     return shares;
--- a/src/gateway/admission_plan_test.cpp
+++ b/src/gateway/admission_plan_test.cpp
@@ -154,3 +154,72 @@
         correction.update(0, 0.6);
     cr_expect_geq(correction.factor(), 0.95);
 }
+
+namespace
+{
+
+/// A deep service turns away this fraction of its requests. Pushes make 8 calls there,
+/// browse requests 4, and lookups are its own.
+std::vector<class_demand> demands_on_rejecting_tills()
+{
+    auto demands = surge_demands();
+    demands[0].calls = {{menu, 1}, {tills, 4}};
+    demands[1].calls = {{tills, 8}};
+    demands[2].calls = {{tills, 1}};
+    return demands;
+}
+
+const service_capacity ample{{menu, 900'000}, {tills, 900'000}};
+
+} // namespace
+
+// A service that turns requests away at random fails every request with many calls: the
+// retries have to go to the most important ones, and the others are refused at the entry.
+Test(admission_plan, begins_only_what_retries_can_carry_through)
+{
+    constexpr double retries_per_s = 1'000;
+    const auto shares = admitted_shares(demands_on_rejecting_tills(), ample,
+                                        {{tills, {0.5, retries_per_s}}});
+    const double push_share = shares.at(class_of(push, 0));
+    cr_expect_gt(push_share, 0.15);
+    cr_expect_leq(push_share * 390 * 8, retries_per_s);
+    cr_expect_leq(shares.at(class_of(browse, 2)), 0.05, "no retries are left for it");
+    cr_expect_gt(shares.at(class_of(browse, 2)), 0, "the recovery has to be noticed");
+    cr_expect_eq(shares.at(class_of(lookup, 1)), 1, "it has a fair chance");
+}
+
+// A caller that has come back has no further try: a refusal would be its end, while a
+// failed try of an idempotent request costs it nothing.
+Test(admission_plan, lets_idempotent_client_retries_try)
+{
+    auto demands = demands_on_rejecting_tills();
+    for (const bool idempotent : {true, false})
+    {
+        demands.push_back(
+            make_demand(idempotent ? browse : push, 3, 100, {{tills, 88}}, true));
+        demands.back().calls = {{tills, 8}};
+        demands.back().idempotent = idempotent;
+    }
+    const auto shares = admitted_shares(demands, ample, {{tills, {0.5, 100}}});
+    cr_expect_eq(shares.at(class_of(browse, 3, true)), 1);
+    cr_expect_leq(shares.at(class_of(push, 3, true)), 0.05);
+}
+
+// Few rejections must not hold anything back.
+Test(admission_plan, begins_what_has_a_fair_chance)
+{
+    const auto shares =
+        admitted_shares(demands_on_rejecting_tills(), ample, {{tills, {0.1, 0}}});
+    for (const auto& [request_class, share] : shares)
+        cr_expect_eq(share, 1, "%s", request_class.route.get().c_str());
+    cr_expect_float_eq(chance_of({{tills, 2}}, {{tills, {0.5, 0}}}), 0.25, 1e-9);
+}
+
+// Where the retries cover everything, everything begins.
+Test(admission_plan, begins_everything_with_enough_retries)
+{
+    const auto shares =
+        admitted_shares(demands_on_rejecting_tills(), ample, {{tills, {0.5, 1e6}}});
+    for (const auto& [request_class, share] : shares)
+        cr_expect_eq(share, 1, "%s", request_class.route.get().c_str());
+}
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -13,6 +13,17 @@
 /// request is not worth starting: it succeeds in less than half of the cases.
 constexpr double max_calls_without_server = 0.7;
 
+/// Returns the probability that a request needs each service, from its expected calls.
+std::map<service_name, double> need_of(const route& configured,
+                                       std::map<service_name, double> calls)
+{
+    for (const auto& target : configured.targets)
+        calls[target.service] = 1;
+    for (auto& [service, probability] : calls)
+        probability = std::min(probability, 1.0);
+    return calls;
+}
+
 } // namespace
 
 void fleet_view::add(const node_report_message& report, time_point report_time)
@@ -47,6 +58,7 @@
     service.limit += report.limit;
     service.running += report.load.running;
     service.wait_share.add(report.queue_wait_share, report.limit);
+    service.rejected_share.add(report.rejected_share, report.limit);
 }
 
 std::vector<call_edge> fleet_view::edges() const
@@ -74,14 +86,16 @@
         if (called.count(route.name) != 0)
             continue;
         const bool unservable = lacks_server(route, calls);
-        const auto need = need_of(route, calls);
+        const auto request_calls = calls_of(route, calls);
+        const auto need = need_of(route, request_calls);
         const auto classes = arrivals_.find(route.name);
         if (classes == arrivals_.end())
             continue;
         for (const auto& [request_class, arrivals_per_s] : classes->second)
             if (arrivals_per_s > 0)
                 result.push_back({request_class, arrivals_per_s, costs.at(route.name),
-                                  need, unservable});
+                                  need, request_calls, unservable,
+                                  route.repeat == repeat_rule::idempotent});
     }
     return result;
 }
@@ -100,18 +114,25 @@
 }
 
 std::map<service_name, double>
-fleet_view::need_of(const route& configured, const std::vector<call_edge>& calls) const
+fleet_view::calls_of(const route& configured, const std::vector<call_edge>& calls) const
 {
-    std::map<service_name, double> need;
+    std::map<service_name, double> result;
     for (const auto& [callee, count] : expected_calls(configured.name, calls))
         if (const auto* called = table_.find(callee))
             for (const auto& [service, share] : cost_input_of(*called).targets)
-                need[service] += count * share;
-    for (const auto& target : configured.targets)
-        need[target.service] = 1;
-    for (auto& [service, probability] : need)
-        probability = std::min(probability, 1.0);
-    return need;
+                result[service] += count * share;
+    for (const auto& [service, share] : cost_input_of(configured).targets)
+        result[service] += share;
+    return result;
+}
+
+std::map<service_name, double> fleet_view::rejected_shares() const
+{
+    std::map<service_name, double> result;
+    for (const auto& [service, state] : services_)
+        if (const double share = state.rejected_share.value(); share > 0)
+            result[service] = share;
+    return result;
 }
 
 // The route's own target is left to the placement: a request is refused there before it
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -40,6 +40,10 @@
     std::vector<class_demand> demands(const std::set<route_name>& called,
                                       const std::vector<call_edge>& calls) const;
 
+    /// Returns the fraction of its requests that each service turns away, for those that
+    /// turn any away.
+    std::map<service_name, double> rejected_shares() const;
+
     /// Returns the services of which a server is available.
     std::set<service_name> available_services() const;
 
@@ -65,11 +69,12 @@
         double limit = 0;
         double running = 0;
         weighted_mean wait_share;
+        weighted_mean rejected_share;
     };
 
     route_cost_input cost_input_of(const route& configured) const;
-    std::map<service_name, double> need_of(const route& configured,
-                                           const std::vector<call_edge>& calls) const;
+    std::map<service_name, double> calls_of(const route& configured,
+                                            const std::vector<call_edge>& calls) const;
     bool lacks_server(const service_name& service) const;
     bool lacks_server(const route& configured, const std::vector<call_edge>& calls) const;
 
--- a/src/gateway/node_retry_budget.cpp
+++ b/src/gateway/node_retry_budget.cpp
@@ -16,6 +16,11 @@
 /// its request that must succeed.
 constexpr double client_reserve_fraction = 0.5;
 
+/// Capacity of a bucket beside the usual one while its inflow is kept, in seconds of it:
+/// one request needs many retries at once. The part of the budget that is not spendable
+/// covers it.
+constexpr double kept_inflow_capacity_s = 1;
+
 } // namespace
 
 double node_retry_budget::slack_per_node() const
@@ -38,6 +43,8 @@
 {
     const auto [found, added] = buckets_.try_emplace(service);
     bucket& filled_bucket = found->second;
+    if (added)
+        filled_bucket.requests = window_counter(window_);
     const double tokens_per_window = slack_per_node() / 2;
     if (added)
     {
@@ -49,14 +56,54 @@
             static_cast<double>((now - filled_bucket.last_refill).count());
         filled_bucket.tokens +=
             tokens_per_window * elapsed_ms / static_cast<double>(window_.count());
+        add_kept_inflow(filled_bucket, now);
     }
     filled_bucket.last_refill = now;
     return filled_bucket;
 }
 
+void node_retry_budget::add_kept_inflow(bucket& filled_bucket, time_point now) const
+{
+    constexpr double ms_per_s = 1000;
+    const auto until = std::min(now, filled_bucket.kept_until);
+    if (until <= filled_bucket.last_refill)
+        return;
+    const double passed_ms =
+        static_cast<double>((until - filled_bucket.last_refill).count());
+    const double inflow_per_s = spendable_per_s(filled_bucket.kept_per_s);
+    filled_bucket.tokens =
+        std::min(max_tokens() + inflow_per_s * kept_inflow_capacity_s,
+                 filled_bucket.tokens + inflow_per_s * passed_ms / ms_per_s);
+}
+
+double node_retry_budget::spendable_per_s(double requests_per_s) const
+{
+    return spendable_fraction * ratio_ * requests_per_s;
+}
+
+void node_retry_budget::keep_inflow(const service_name& service, time_point now)
+{
+    bucket& kept = refill_bucket(service, now);
+    const bool kept_of_late =
+        kept.kept_until != time_point{} && now < kept.kept_until + window_;
+    if (kept_of_late)
+        return;
+    kept.kept_per_s = kept.requests.per_s(now);
+    kept.kept_until = now + window_;
+}
+
+bool node_retry_budget::keeps_inflow(const service_name& service, time_point now) const
+{
+    const auto found = buckets_.find(service);
+    return found != buckets_.end() && now < found->second.kept_until;
+}
+
 void node_retry_budget::on_request(const service_name& service, time_point now)
 {
     bucket& filled_bucket = refill_bucket(service, now);
+    filled_bucket.requests.add(1, now);
+    if (now < filled_bucket.kept_until)
+        return;
     filled_bucket.tokens =
         std::min(max_tokens(), filled_bucket.tokens + spendable_fraction * ratio_);
 }
--- a/src/gateway/node_retry_budget_test.cpp
+++ b/src/gateway/node_retry_budget_test.cpp
@@ -80,3 +80,28 @@
     cr_expect(!budget.try_spend(menu, {{tills, 100}}, true, start));
     cr_expect(budget.try_spend(menu, {{tills, 1}}, true, start));
 }
+
+// Fewer requests are admitted while a service turns requests away. Their calls need the
+// retries that the requests of the window before allow, and no more than those.
+Test(node_retry_budget, keeps_the_inflow_while_fewer_requests_are_admitted)
+{
+    constexpr int before = 10'000;
+    node_retry_budget budget(0.2, 0, window);
+    budget.set_node_count(1);
+    for (int i = 0; i < before; ++i)
+        budget.on_request(tills, start + window * i / before);
+    const auto trouble = start + window;
+    budget.keep_inflow(tills, trouble);
+    int retries = 0;
+    for (milliseconds passed{0}; passed < window; passed += milliseconds{1})
+        retries += budget.try_spend(tills, {}, false, trouble + passed) ? 1 : 0;
+    cr_expect_gt(retries, 0.15 * before);
+    cr_expect_leq(retries, 0.2 * before);
+    const auto end = trouble + window;
+    budget.keep_inflow(tills, end);
+    cr_expect(!budget.keeps_inflow(tills, end), "not for two windows in a row");
+    while (budget.try_spend(tills, {}, false, end))
+    {
+    }
+    cr_expect(!budget.try_spend(tills, {}, false, end + milliseconds{500}));
+}
--- a/src/gateway/request_router.cpp
+++ b/src/gateway/request_router.cpp
@@ -11,8 +11,11 @@
 namespace
 {
 
-/// Maximum number of servers tried for one request before it is rejected.
+/// Maximum number of servers tried for one request before it is rejected, and for a call
+/// that servers turned away: the retry budget bounds these, and the request that it is
+/// part of is lost without it.
 constexpr unsigned max_placements_per_request = 4;
+constexpr unsigned max_placements_per_call = 12;
 
 /// Time after the deadline during which a server's answer is still accepted.
 constexpr milliseconds late_answer_tolerance{20};
@@ -202,9 +205,18 @@
     if (request->answer_deadline <= clock::now())
         return reject(request,
                       request->sends > 0 ? rejection::timeout : rejection::overload);
-    const auto found =
-        choose_server(candidates(*request), request->message.target_latency, random_);
-    if (!found || request->placements >= max_placements_per_request)
+    const auto most = request->was_rejected && request->message.from_server
+                          ? max_placements_per_call
+                          : max_placements_per_request;
+    auto servers = candidates(*request);
+    if (servers.empty() && most == max_placements_per_call)
+    {
+        // All have turned it away; the next time they may not.
+        request->tried_nodes.clear();
+        servers = candidates(*request);
+    }
+    const auto found = choose_server(servers, request->message.target_latency, random_);
+    if (!found || request->placements >= most)
     {
         if (request->sends > 0)
             return reject(request, rejection::server_failed);
--- a/src/gateway/request_router_answers.cpp
+++ b/src/gateway/request_router_answers.cpp
@@ -95,6 +95,8 @@
         return reject(request, may_have_run ? rejection::timeout : rejection::overload);
     // A rejection by the server counts as an arrival there, so the next attempt is
     // charged to the retry budget.
+    if (reply.failure == forward_failure::server_rejected)
+        request->was_rejected = true;
     if (reply.failure == forward_failure::server_rejected &&
         !retry_budget_.try_spend(request->message.service, {},
                                  !request->message.from_server, clock::now()))
--- a/src/gateway/request_router_shares.cpp
+++ b/src/gateway/request_router_shares.cpp
@@ -21,6 +21,9 @@
 constexpr milliseconds max_update_interval{300};
 constexpr milliseconds update_interval_per_peer{2};
 
+/// Fraction of its requests that a service turns away from which its retries are kept.
+constexpr double min_kept_rejected_share = 0.25;
+
 milliseconds update_interval(std::size_t peers)
 {
     const auto wanted = update_interval_per_peer * static_cast<std::int64_t>(peers);
@@ -34,9 +37,10 @@
 
 } // namespace
 
-void request_router::log_shares(const std::vector<class_demand>& demands,
-                                const service_capacity& capacity,
-                                const class_shares& shares)
+void request_router::log_shares(
+    const std::vector<class_demand>& demands, const service_capacity& capacity,
+    const class_shares& shares,
+    const std::map<service_name, service_rejections>& rejections)
 {
     std::string routes;
     std::map<service_name, double> required_ms_per_s;
@@ -53,6 +57,10 @@
         services += fmt::format("{} need {:.0f} of {:.0f} ms/s, capacity factor {:.2f}; ",
                                 service.get(), required_ms_per_s[service], ms,
                                 corrections_[service].factor());
+    std::string rejecting;
+    for (const auto& [service, rejected] : rejections)
+        rejecting += fmt::format("{} rejects {:.2f}, {:.0f} retries/s; ", service.get(),
+                                 rejected.share, rejected.retries_per_s);
     std::string calls;
     for (const auto& edge : edges_)
         calls += fmt::format("{} calls {} {:.2f}; ", edge.from.get(), edge.to.get(),
@@ -70,6 +78,7 @@
                        {"slot_ms", own.service_ms},
                        {"routes", routes},
                        {"services", services},
+                       {"rejecting", rejecting},
                        {"called_routes", called_routes},
                        {"calls", calls}});
 }
@@ -81,6 +90,36 @@
         origins_.mark_called(edge.to);
 }
 
+// While a service turns requests away, its retries stay at the rate of the requests
+// before: fewer begin, and the calls of those that do can be retried.
+std::map<service_name, service_rejections> request_router::service_rejections_of(
+    const fleet_view& fleet, const std::vector<class_demand>& demands, time_point now)
+{
+    std::map<service_name, double> requests_per_s;
+    for (const auto& demand : demands)
+        for (const auto& [service, count] : demand.calls)
+            requests_per_s[service] +=
+                count * demand.arrivals_per_s * shedder_.share(demand.request_class);
+    std::map<service_name, service_rejections> result;
+    for (const auto& [service, share] : fleet.rejected_shares())
+    {
+        auto& before = request_rates_[service];
+        if (share >= min_kept_rejected_share)
+            retry_budget_.keep_inflow(service, now);
+        const bool keeps = retry_budget_.keeps_inflow(service, now);
+        if (!keeps)
+            before.kept_per_s = before.meter.per_s(now);
+        result[service] = {share,
+                           retry_budget_.spendable_per_s(
+                               keeps ? before.kept_per_s : requests_per_s[service])};
+    }
+    const auto seconds = std::chrono::duration<double>(now - last_rates_update_).count();
+    last_rates_update_ = now;
+    for (const auto& [service, per_s] : requests_per_s)
+        request_rates_[service].meter.add(per_s * std::min(seconds, 1.0), now);
+    return result;
+}
+
 void request_router::update_shares()
 {
     const auto now = clock::now();
@@ -123,7 +162,8 @@
     edges_ = fleet.edges();
     const auto demands = fleet.demands(origins_.called_routes(), edges_);
     const auto capacity = fleet.capacity(corrections_, steps);
-    auto shares = admitted_shares(demands, capacity);
+    const auto rejections = service_rejections_of(fleet, demands, now);
+    auto shares = admitted_shares(demands, capacity, rejections);
     const bool all_admitted =
         std::all_of(shares.begin(), shares.end(),
                     [](const auto& share) { return share.second >= 1; });
@@ -132,7 +172,7 @@
     if (now >= last_shares_log_ + line_interval)
     {
         last_shares_log_ = now;
-        log_shares(demands, capacity, shares);
+        log_shares(demands, capacity, shares, rejections);
     }
     shedder_.set_shares(std::move(shares));
 }
--- a/src/gateway/request_state.hpp
+++ b/src/gateway/request_state.hpp
@@ -24,6 +24,7 @@
     unsigned placements = 0;
     unsigned sends = 0; ///< Attempts that may have reached a backend server.
     bool client_retry = false;
+    bool was_rejected = false;               ///< By a server, without running.
     const tenant_settings* tenant = nullptr; ///< Of the client; null without keys.
     bool waits_for_quota = false;
     bool has_quota_token = false;
--- a/src/gateway/run_executor.cpp
+++ b/src/gateway/run_executor.cpp
@@ -307,6 +307,7 @@
     report.max_rate = queue_.max_rate();
     report.queue_wait_share = queue_.wait_share(clock::now());
     report.service_ms = queue_.slot_ms();
+    report.rejected_share = rejections_.share(clock::now());
 }
 
 void run_executor::add_learned(node_report_message& report) const
--- a/src/gateway/run_executor_answers.cpp
+++ b/src/gateway/run_executor_answers.cpp
@@ -27,6 +27,7 @@
     if (verdict != server_verdict::wrong_server)
         on_notice(answer, runs_.at(number).sent_at);
     const run& ended = runs_.at(number);
+    rejections_.record(verdict == server_verdict::not_run, last_answer_);
     switch (verdict)
     {
     case server_verdict::wrong_server:
--- a/src/include/fescueridge/codec/gateway_messages.hpp
+++ b/src/include/fescueridge/codec/gateway_messages.hpp
@@ -155,6 +155,8 @@
     bool with_learned = false;
     std::vector<route_slot_time> slot_times;
     std::vector<call_edge> calls;
+    /// Fraction of the requests that the server turned away of late without running them.
+    double rejected_share = 0;
 };
 
 /// Asks for the routing configuration if it is newer than `have`.
--- a/src/include/fescueridge/gateway/admission_plan.hpp
+++ b/src/include/fescueridge/gateway/admission_plan.hpp
@@ -42,13 +42,28 @@
     service_costs costs;
     /// Probability that a request needs the service at all; 1 for services not listed.
     std::map<service_name, double> need;
+    /// Expected number of requests to each service, its own one included.
+    std::map<service_name, double> calls;
     /// Its calls need a service of which no server is available, so it can't succeed.
     bool lacks_server = false;
+    /// May run more than once, so a failure leaves its caller no worse than a refusal.
+    bool idempotent = false;
 };
 
 /// Slot time that each service can provide, in milliseconds per second.
 using service_capacity = std::map<service_name, double>;
 
+/// A service whose servers turn requests away whatever their load.
+struct service_rejections
+{
+    double share = 0;         ///< Fraction of the requests that they turn away.
+    double retries_per_s = 0; ///< Retries that all nodes may spend there.
+};
+
+/// Returns the probability that a request succeeds with these calls if none is retried.
+double chance_of(const std::map<service_name, double>& calls,
+                 const std::map<service_name, service_rejections>& rejections);
+
 /// Returns the fraction of each class to admit so that the load on every service in its
 /// call tree stays within that service's capacity. Capacity is allocated by priority, the
 /// most important first, and within one priority to new requests before client retries.
@@ -58,8 +73,15 @@
 ///
 /// Handles surges in which a service deep in the call graph runs out of slots: rejecting
 /// a call there wastes the work already done by the services above it.
-class_shares admitted_shares(std::vector<class_demand> demands,
-                             service_capacity capacity);
+///
+/// Handles, too, a service in the depth that turns part of its requests away at random: a
+/// request with several calls there hardly ever ends well unless its calls are retried.
+/// Requests with little chance are admitted as far as the retries that all nodes share
+/// cover their calls, by priority, and a small part beyond that shows when the service
+/// has recovered. A request with a fair chance is not held back,
+/// nor a client retry that may fail without harm: its caller has no further try.
+class_shares admitted_shares(std::vector<class_demand> demands, service_capacity capacity,
+                             std::map<service_name, service_rejections> rejections = {});
 
 /// Admits a given fraction of the requests of each class, spread evenly over time.
 class load_shedder
--- a/src/include/fescueridge/gateway/node_retry_budget.hpp
+++ b/src/include/fescueridge/gateway/node_retry_budget.hpp
@@ -6,6 +6,7 @@
 #include "fescueridge/base/clock.hpp"
 #include "fescueridge/base/types.hpp"
 #include "fescueridge/gateway/call_graph.hpp"
+#include "fescueridge/gateway/window_counter.hpp"
 
 namespace fescueridge::gateway
 {
@@ -24,6 +25,18 @@
     /// Sets the number of nodes that share the slack.
     void set_node_count(std::size_t nodes) { node_count_ = nodes; }
 
+    /// Keeps the inflow of a service for one window at its mean of the last window,
+    /// because fewer requests are admitted while its servers turn requests away. The
+    /// shared budget counts the requests of the window before, too. Has no effect while
+    /// it is kept or was kept within the last two windows.
+    void keep_inflow(const service_name& service, time_point now);
+
+    /// Returns whether the inflow of a service is kept.
+    bool keeps_inflow(const service_name& service, time_point now) const;
+
+    /// Returns the retries per second that nodes with `requests_per_s` may spend.
+    double spendable_per_s(double requests_per_s) const;
+
     /// Records a first request to a service.
     void on_request(const service_name& service, time_point now);
 
@@ -40,9 +53,13 @@
     {
         double tokens = 0;
         time_point last_refill{};
+        window_counter requests;
+        double kept_per_s = 0; ///< Requests per second that the inflow is kept at.
+        time_point kept_until{};
     };
 
     bucket& refill_bucket(const service_name& service, time_point now);
+    void add_kept_inflow(bucket& filled_bucket, time_point now) const;
     double slack_per_node() const;
     double max_tokens() const;
 
--- a/src/include/fescueridge/gateway/request_router.hpp
+++ b/src/include/fescueridge/gateway/request_router.hpp
@@ -22,6 +22,8 @@
 namespace fescueridge::gateway
 {
 
+class fleet_view;
+
 /// Counts of received requests and of their outcomes.
 struct router_counters
 {
@@ -150,7 +152,11 @@
     void log_request(log_event event, const request_state& request, log_category category,
                      std::vector<event_field> extra_fields);
     void log_shares(const std::vector<class_demand>& demands,
-                    const service_capacity& capacity, const class_shares& shares);
+                    const service_capacity& capacity, const class_shares& shares,
+                    const std::map<service_name, service_rejections>& rejections);
+    std::map<service_name, service_rejections>
+    service_rejections_of(const fleet_view& fleet,
+                          const std::vector<class_demand>& demands, time_point now);
     void count_arrival(const admission_class& request_class);
     std::optional<priority> reported_rank(const admission_class& request_class) const;
 
@@ -183,6 +189,13 @@
         double per_s = 0;
     };
     std::map<admission_class, arrival_meter> arrivals_;
+    struct request_rate
+    {
+        window_counter meter;
+        double kept_per_s = 0; ///< Before the service began to turn requests away.
+    };
+    std::map<service_name, request_rate> request_rates_; ///< Of all nodes.
+    time_point last_rates_update_{};
     client_retry_detector client_retries_;
     time_point last_update_{};
     time_point last_shares_log_{};
--- a/src/include/fescueridge/gateway/run_executor.hpp
+++ b/src/include/fescueridge/gateway/run_executor.hpp
@@ -9,6 +9,7 @@
 #include "fescueridge/gateway/call_graph.hpp"
 #include "fescueridge/gateway/crash_suspects.hpp"
 #include "fescueridge/gateway/decision_log.hpp"
+#include "fescueridge/gateway/rejection_meter.hpp"
 #include "fescueridge/gateway/run_queue.hpp"
 #include "fescueridge/gateway/server_rate.hpp"
 #include "fescueridge/gateway/server_tracker.hpp"
@@ -185,6 +186,7 @@
     bool answered_ = false; ///< This start of the server has answered this process.
     bool health_check_running_ = false;
     bool stopping_ = false;
+    rejection_meter rejections_;
     executor_counters counters_;
     duration_histogram run_times_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
