Bound what clients can make a gateway node hold

Cause: nothing bounded the bytes of all clients together. A crowd of chunked uploads that stop short, or of clients that do not read long answers, took a node over its memory, and idle connections took its descriptors.

Change: byte_account adds up what the HTTP server holds for its peers. Where it is full, the client that stands still and holds most loses its room first; large requests are refused with 503 before their body is read. Connections, links and the requests and answers of the own server have shares of their own, all derived from the memory and descriptors of the settings (docs/platform.md). The parser gives the memory of a body back.

--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -46,6 +46,7 @@
 private:
     using timer_ptr = std::shared_ptr<asio::steady_timer>;
 
+    http_server_options control_server_options() const;
     void run_every(milliseconds interval, std::function<void()> action);
     peer_callbacks make_peer_callbacks();
     cluster_callbacks make_cluster_callbacks();
@@ -61,6 +62,7 @@
     void reject_announcement(const std::string& detail, http_exchange& exchange);
 
     void on_forward(const link_ptr& from, forward_message message);
+    void send_reply(const link_ptr& to, const forward_reply_message& reply);
     void on_cancel(const link_ptr& from, std::uint64_t number);
     void on_recall(const link_ptr& from, std::uint64_t number);
     void on_link_closed(const link_ptr& closed);
@@ -83,6 +85,8 @@
     peers peers_;
     request_router router_;
     cluster_records records_;
+    std::shared_ptr<byte_account> client_bytes_;
+    std::map<http_fault_kind, std::uint64_t> client_faults_;
     std::unique_ptr<http_server> request_server_;
     std::unique_ptr<http_server> ready_server_;
     std::unique_ptr<http_server> announcement_server_;
@@ -112,13 +116,17 @@
       peers_(io, settings_, events_, decisions_, make_peer_callbacks()),
       router_(io, settings_, wire, decisions_, peers_, executor_),
       records_(io, settings_, log, decisions_, peers_.self(), make_cluster_callbacks()),
+      client_bytes_(std::make_shared<byte_account>(settings_.process.client_bytes())),
       stop_schedule_(stop_schedule::for_grace(settings_.bounds.grace))
 {
     events_.echo(false);
     http_server_options request_server_options;
     request_server_options.max_pipelined = max_pipelined_requests;
+    request_server_options.account = client_bytes_;
+    request_server_options.max_connections = settings_.process.client_connections();
     request_server_options.on_fault = [this](const http_fault& fault)
     {
+        ++client_faults_[fault.kind];
         if (decisions_.should_log(log_category::failure, {}))
             decisions_.record(log_event::request_unreadable,
                               {{"cause", std::string(to_string(fault.kind))},
@@ -135,12 +143,14 @@
         io, settings_.listen_ready,
         [this](const http_request& request,
                const std::shared_ptr<http_exchange>& exchange)
-        { handle_readiness(request, *exchange); });
+        { handle_readiness(request, *exchange); },
+        control_server_options());
     announcement_server_ = std::make_unique<http_server>(
         io, settings_.listen_announcements,
         [this](const http_request& request,
                const std::shared_ptr<http_exchange>& exchange)
-        { handle_announcement(request, *exchange); });
+        { handle_announcement(request, *exchange); },
+        control_server_options());
     peers_.start();
     start_following();
     run_every(poll_interval,
@@ -160,6 +170,17 @@
                        {"entry", to_string(settings_.listen_requests)}});
 }
 
+// Readiness and announcements come from a few peers and need little room.
+http_server_options gateway_node::impl::control_server_options() const
+{
+    constexpr std::size_t max_control_connections = 64;
+    constexpr message_limits small_messages{max_header_bytes, std::size_t{64} * 1024};
+    http_server_options options;
+    options.limits = small_messages;
+    options.max_connections = max_control_connections;
+    return options;
+}
+
 void gateway_node::impl::run_every(milliseconds interval, std::function<void()> action)
 {
     auto timer = std::make_shared<asio::steady_timer>(io_);
@@ -371,7 +392,10 @@
              {{"Content-Type", "text/plain; version=0.0.4"}},
              metrics_text(router_, executor_, peers_, decisions_, table_.get(),
                           log_status{config_follower_->unconfirmed_for(),
-                                     config_follower_->skipped() + records_.skipped()})});
+                                     config_follower_->skipped() + records_.skipped()},
+                          client_status{client_bytes_->used(), client_bytes_->peak(),
+                                        request_server_->open_connections(),
+                                        client_faults_})});
     const bool ready = table_ && !stopping_since_;
     exchange.respond({ready ? 200 : 503,
                       {{"Content-Type", "text/plain"}},
@@ -411,12 +435,26 @@
                          {
                              *answered = true;
                              remote_runs_.erase(key);
-                             from->send(reply);
+                             send_reply(from, reply);
                          });
     if (!*answered)
         remote_runs_[key] = run;
 }
 
+// An answer for which the links have no room is replaced: it has run.
+void gateway_node::impl::send_reply(const link_ptr& to,
+                                    const forward_reply_message& reply)
+{
+    if (to->send(reply) || reply.body.empty())
+        return;
+    forward_reply_message lost;
+    lost.number = reply.number;
+    lost.result = forward_result::unknown;
+    lost.failure = forward_failure::server_broke_off;
+    lost.load = reply.load;
+    to->send(lost);
+}
+
 void gateway_node::impl::on_cancel(const link_ptr& from, std::uint64_t number)
 {
     const auto found = remote_runs_.find({from.get(), number});
--- a/src/gateway/metrics_text.cpp
+++ b/src/gateway/metrics_text.cpp
@@ -117,11 +117,18 @@
 
 std::string metrics_text(const request_router& router, const run_executor& executor,
                          const peers& node_peers, const decision_log& decisions,
-                         const route_table* table, const log_status& log)
+                         const route_table* table, const log_status& log,
+                         const client_status& clients)
 {
     text_writer out;
     add_router(out, router);
     add_executor(out, executor);
+    out.add("client_bytes_held", "", clients.bytes);
+    out.add("client_bytes_held_peak", "", clients.peak_bytes);
+    out.add("client_connections", "", clients.connections);
+    for (const auto& [kind, count] : clients.faults)
+        out.add("client_faults_total", fmt::format("cause=\"{}\"", to_string(kind)),
+                count);
     out.add("peers_known", "", node_peers.all().size());
     out.add("peers_linked", "", node_peers.linked_count());
     const auto traffic = node_peers.traffic();
--- a/src/gateway/metrics_text.hpp
+++ b/src/gateway/metrics_text.hpp
@@ -14,10 +14,20 @@
     std::uint64_t records_skipped = 0;      ///< Unreadable records of all topics.
 };
 
+/// What a node holds for its clients, and what it did not accept from them.
+struct client_status
+{
+    std::size_t bytes = 0; ///< Held, with the copies of requests under way.
+    std::size_t peak_bytes = 0;
+    std::size_t connections = 0;
+    std::map<http_fault_kind, std::uint64_t> faults;
+};
+
 /// Returns the counters, gauges and latency histograms of a node in the Prometheus text
 /// format. `table` is null while the node has no routing configuration.
 std::string metrics_text(const request_router& router, const run_executor& executor,
                          const peers& node_peers, const decision_log& decisions,
-                         const route_table* table, const log_status& log);
+                         const route_table* table, const log_status& log,
+                         const client_status& clients);
 
 } // namespace fescueridge::gateway
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -60,8 +60,10 @@
                              incarnation(static_cast<std::uint64_t>(self_.started_ms)),
                              self_.domain, sheet_version(0)};
     };
+    auto options = link_heartbeat;
+    options.max_waiting_bytes = settings_.process.link_bytes();
     hub_ = std::make_unique<link_hub>(io_, settings_.listen_link, hello, events_,
-                                      make_link_callbacks(), link_heartbeat);
+                                      make_link_callbacks(), options);
     schedule_dialling();
 }
 
--- a/src/gateway/run_executor.cpp
+++ b/src/gateway/run_executor.cpp
@@ -44,6 +44,12 @@
 
 /// Bytes of incomplete answers of the server, on all connections together.
 constexpr std::size_t max_buffered_answers = std::size_t{32} * 1024 * 1024;
+constexpr std::size_t min_buffered_answers = max_body_bytes + max_header_bytes;
+
+/// Requests with larger bodies are turned away where the requests held fill their room.
+/// Each exists twice while it is sent.
+constexpr std::size_t small_body = std::size_t{16} * 1024;
+constexpr std::size_t copies_of_body = 2;
 
 /// Idle timeout of connections to a server that does not state one.
 constexpr milliseconds default_idle_timeout{4'000};
@@ -55,12 +61,16 @@
            (before.born_ms != 0 && before.born_ms != after.born_ms);
 }
 
-http_client_options pool_options()
+http_client_options pool_options(const process_limits& process)
 {
     http_client_options options;
     options.answers_until_end = true;
     options.idle_timeout = default_idle_timeout;
-    options.max_buffered_bytes = max_buffered_answers;
+    options.max_buffered_bytes =
+        process.memory_bytes == 0
+            ? max_buffered_answers
+            : std::clamp(process.server_bytes(), min_buffered_answers,
+                         max_buffered_answers);
     return options;
 }
 
@@ -98,10 +108,10 @@
         pool_->close();
     }
     pool_ = std::make_unique<http_client_pool>(io_, settings_.server, connection_limit(),
-                                               pool_options());
+                                               pool_options(settings_.process));
     if (!health_check_pool_)
         health_check_pool_ = std::make_unique<http_client_pool>(
-            io_, settings_.server, connection_count(1), pool_options());
+            io_, settings_.server, connection_count(1), pool_options(settings_.process));
 }
 
 std::uint64_t run_executor::connections_opened() const
@@ -330,9 +340,22 @@
     if (!suspects_.empty() &&
         suspects_.quarantined(request_fingerprint(call), clock::now()))
         return forward_failure::quarantined;
+    if (call.body.size() > small_body && !has_room_for(call.body.size()))
+        return forward_failure::queue_full;
     return std::nullopt;
 }
 
+// A single large request always has room.
+bool run_executor::has_room_for(std::size_t body_bytes) const
+{
+    const auto limit = settings_.process.server_bytes();
+    std::size_t held = 0;
+    for (const auto& [number, run_entry] : runs_)
+        held += copies_of_body * run_entry.call.body.size();
+    const auto own = copies_of_body * body_bytes;
+    return limit == 0 || held <= limit || held == own;
+}
+
 run_number run_executor::submit(forward_message call, callback done)
 {
     const run_number number(++next_number_);
--- a/src/include/fescueridge/gateway/run_executor.hpp
+++ b/src/include/fescueridge/gateway/run_executor.hpp
@@ -141,6 +141,7 @@
     };
 
     std::optional<forward_failure> refusal_reason(const forward_message& call) const;
+    bool has_room_for(std::size_t body_bytes) const;
     void handle_server_change(server_change change, const std::string& cause);
     void start_run(run_number number);
     void on_result(run_number number, http_result result);
--- a/src/include/fescueridge/transport/http_server.hpp
+++ b/src/include/fescueridge/transport/http_server.hpp
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "fescueridge/base/endpoint.hpp"
+#include "fescueridge/transport/byte_account.hpp"
 #include "fescueridge/transport/http.hpp"
 
 namespace asio
@@ -28,6 +29,8 @@
     malformed,        ///< Not HTTP/1.x; answered 400.
     body_too_large,   ///< Body over the limit; answered 413.
     header_too_large, ///< Header block over the limit; answered 431.
+    no_room,          ///< Too many bytes are held for peers; answered 503, not run.
+    stalled,          ///< Lost its room: it made no progress while others needed it.
     cut,              ///< The peer closed in the middle of a request.
     timed_out         ///< The rest of a request did not come in time; answered 408.
 };
@@ -85,6 +88,15 @@
     /// answers are sent in the order of the requests.
     std::size_t max_pipelined = 1;
 
+    /// Counts what is held for the peers of this and other servers; may be null. When it
+    /// is full, peers without progress lose their connections, the largest first, and
+    /// requests that need room are refused with 503 before they are handed over.
+    std::shared_ptr<byte_account> account;
+
+    /// Most open connections; 0 for no limit. Beyond it the connection that has been idle
+    /// longest is closed, or the new one if none is idle.
+    std::size_t max_connections = 0;
+
     /// Called on an io thread for each fault; may be empty.
     std::function<void(const http_fault&)> on_fault;
 };
--- a/src/include/fescueridge/transport/link_hub.hpp
+++ b/src/include/fescueridge/transport/link_hub.hpp
@@ -124,6 +124,9 @@
     milliseconds open_timeout{1500};
     /// Of a link that is not in use; null for the same interval as on the others.
     std::optional<milliseconds> idle_ping_interval;
+    /// Most bytes that may wait to be sent on all links together when a large message is
+    /// added to them; 0 for no limit. Where none wait, one is always sent.
+    std::size_t max_waiting_bytes = 0;
 };
 
 /// Bytes of the encoded frames of all links since the start, without the headers of
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -102,6 +102,10 @@
         return "body_too_large";
     case http_fault_kind::header_too_large:
         return "header_too_large";
+    case http_fault_kind::no_room:
+        return "no_room";
+    case http_fault_kind::stalled:
+        return "stalled";
     case http_fault_kind::cut:
         return "cut";
     case http_fault_kind::timed_out:
--- a/src/transport/http_client_pool_test.cpp
+++ b/src/transport/http_client_pool_test.cpp
@@ -391,7 +391,8 @@
 // as one.
 Test(http_client_pool, fails_answers_without_a_valid_status)
 {
-    for (const std::string status : {"000", "099", "99", "20", "0200", "1", "007", "2000"})
+    for (const std::string status :
+         {"000", "099", "99", "20", "0200", "1", "007", "2000"})
     {
         const auto seen =
             failure_after("HTTP/1.1 " + status + " OK\r\nContent-Length: 0\r\n\r\n");
--- a/src/transport/http_message.cpp
+++ b/src/transport/http_message.cpp
@@ -87,11 +87,12 @@
     in_value_ = false;
     expects_continue_ = false;
     header_bytes_ = 0;
+    body_length_ = no_content_length;
     problem_.clear();
     status_line_.clear();
     target_.clear();
     headers_.clear();
-    body_.clear();
+    std::string().swap(body_); // clear() would keep its memory
 }
 
 parse_status message_parser::feed(const char* data, std::size_t size, std::size_t& used)
@@ -112,6 +113,13 @@
     return status_;
 }
 
+std::size_t message_parser::expected_bytes() const noexcept
+{
+    const bool has_length = body_length_ != no_content_length;
+    return header_bytes_ +
+           (has_length ? std::max(body_length_, body_.size()) : body_.size());
+}
+
 parse_status message_parser::finish()
 {
     if (status_ == parse_status::need_more && started_)
@@ -221,6 +229,7 @@
     }
     if (head_answer_)
         return skip_body;
+    body_length_ = parser_.content_length;
     if (parser_.content_length != no_content_length &&
         parser_.content_length > limits_.body)
     {
--- a/src/transport/http_message.hpp
+++ b/src/transport/http_message.hpp
@@ -54,6 +54,11 @@
     /// Returns the bytes of the body that were read so far.
     std::size_t body_bytes() const noexcept { return body_.size(); }
 
+    /// Returns the bytes that the message holds so far, and those that it will hold where
+    /// it states the length of its body.
+    std::size_t held_bytes() const noexcept { return header_bytes_ + body_.capacity(); }
+    std::size_t expected_bytes() const noexcept;
+
     /// Tells whether any byte of the current message was read.
     bool started() const noexcept { return started_; }
 
@@ -96,6 +101,7 @@
     http_parser_type type_;
     message_limits limits_;
     std::size_t header_bytes_ = 0;
+    std::uint64_t body_length_ = 0; ///< As stated in the header; ~0 where it is not.
     answer_length length_;
     parse_status status_ = parse_status::need_more;
     bool head_answer_ = false;
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -14,6 +14,14 @@
 /// Pause after a failed accept, for example when no file descriptor is free.
 constexpr milliseconds accept_retry_time{50};
 
+/// Time without progress after which a peer may lose its room to others.
+constexpr milliseconds stalled_time{200};
+
+bool is_stalled(const server_connection& connection, time_point now)
+{
+    return connection.waits_for_peer() && connection.stalled_for(now) >= stalled_time;
+}
+
 } // namespace
 
 void http_server_impl::open(const endpoint& listen)
@@ -49,6 +57,8 @@
             auto connection =
                 std::make_shared<server_connection>(self, std::move(socket));
             self->add(connection);
+            if (const auto surplus = self->surplus_connection(connection))
+                surplus->abort();
             if (self->closed_)
                 return connection->abort();
             asio::dispatch(connection->strand(), [connection] { connection->start(); });
@@ -101,6 +111,65 @@
     connections_ = open_.size();
 }
 
+bool http_server_impl::make_room(std::size_t bytes)
+{
+    const auto& account = options_.account;
+    while (account && !account->has_room(bytes))
+    {
+        const auto largest = largest_stalled();
+        if (!largest)
+            return false;
+        const auto before = account->used();
+        largest->evict("no progress while others need room");
+        // On another thread the eviction takes a moment: later requests gain by it.
+        if (account->used() >= before)
+            return false;
+    }
+    return true;
+}
+
+std::shared_ptr<server_connection> http_server_impl::largest_stalled()
+{
+    const std::lock_guard lock(mutex_);
+    std::shared_ptr<server_connection> largest;
+    const auto now = clock::now();
+    for (const auto& connection : open_)
+        if (connection->held_bytes() > 0 && is_stalled(*connection, now) &&
+            (!largest || connection->held_bytes() > largest->held_bytes()))
+            largest = connection;
+    return largest;
+}
+
+void http_server_impl::charge(std::size_t before, std::size_t after) const
+{
+    if (options_.account)
+        options_.account->change(before, after);
+}
+
+// Returns the connection that gives its place to a new one: the one that has been idle
+// longest, else the one that has stalled longest, else the new one.
+std::shared_ptr<server_connection>
+http_server_impl::surplus_connection(const std::shared_ptr<server_connection>& added)
+{
+    const std::lock_guard lock(mutex_);
+    if (options_.max_connections == 0 || open_.size() <= options_.max_connections)
+        return nullptr;
+    std::shared_ptr<server_connection> surplus;
+    const auto now = clock::now();
+    const auto goes_before = [now](const auto& a, const auto& b)
+    {
+        if (a->is_idle() != b->is_idle())
+            return a->is_idle();
+        return a->stalled_for(now) > b->stalled_for(now);
+    };
+    for (const auto& connection : open_)
+        if (connection != added &&
+            (connection->is_idle() || is_stalled(*connection, now)) &&
+            (!surplus || goes_before(connection, surplus)))
+            surplus = connection;
+    return surplus ? surplus : added;
+}
+
 void http_server_impl::report(const http_fault& fault) const
 {
     if (options_.on_fault)
--- a/src/transport/link_hub.cpp
+++ b/src/transport/link_hub.cpp
@@ -104,6 +104,18 @@
         link->close();
 }
 
+// Returns whether a large message may be added to what waits to be sent.
+bool link_hub_impl::may_wait(std::size_t bytes) const
+{
+    if (options_.max_waiting_bytes == 0)
+        return true;
+    std::size_t waiting = 0;
+    const std::lock_guard lock(mutex_);
+    for (const auto& link : links_)
+        waiting += link->waiting_bytes();
+    return waiting == 0 || waiting + bytes <= options_.max_waiting_bytes;
+}
+
 std::shared_ptr<link_impl> link_hub_impl::find_dialled(const endpoint& target) const
 {
     const auto found = std::find_if(
--- a/src/transport/link_impl.cpp
+++ b/src/transport/link_impl.cpp
@@ -11,6 +11,9 @@
 /// fill the memory: 4 of the largest frames are about half of the 128 MB of a node.
 constexpr std::size_t max_backlog_bytes = 4 * max_frame_bytes;
 
+/// Messages up to this size are sent whatever waits on other links.
+constexpr std::size_t small_message = std::size_t{64} * 1024;
+
 } // namespace
 
 void drop(const websocketpp::connection_hdl& handle)
@@ -95,6 +98,8 @@
 {
     if (connection_->get_buffered_amount() > max_backlog_bytes)
         return false;
+    if (bytes.size() > small_message && !hub_->may_wait(bytes.size()))
+        return false;
     if (bytes.size() > max_frame_bytes)
         return false;
     if (connection_->send(bytes, websocketpp::frame::opcode::binary))
--- a/src/transport/link_impl.hpp
+++ b/src/transport/link_impl.hpp
@@ -50,6 +50,9 @@
 
     std::vector<link_hub::dial_callback> waiters_; ///< Guarded by the hub's mutex.
 
+    /// Returns the bytes that wait to be sent.
+    std::size_t waiting_bytes() const { return connection_->get_buffered_amount(); }
+
 private:
     enum class state : std::uint8_t
     {
@@ -111,6 +114,7 @@
     void ended(const std::shared_ptr<link_impl>& link);
     link_ptr find(const node_id& node) const;
     std::vector<link_ptr> links() const;
+    bool may_wait(std::size_t bytes) const;
     void close();
 
     void report(const link_fault& fault) const
--- a/src/transport/server_connection.cpp
+++ b/src/transport/server_connection.cpp
@@ -45,15 +45,38 @@
         return 413;
     case http_fault_kind::timed_out:
         return 408;
+    case http_fault_kind::no_room:
+    case http_fault_kind::stalled:
+        return 503;
     default:
         return 400;
     }
 }
 
+/// Copies of a request that exist on its way to a server and back, beside the one read.
+constexpr std::size_t copies_under_way = 3;
+
+/// Requests up to this size are read also where there is no room, so that a crowd of
+/// large ones does not shut out ordinary ones.
+constexpr std::size_t small_request = std::size_t{16} * 1024;
+
+/// Stated to clients that are refused for lack of room, in seconds.
+constexpr const char* no_room_retry_after = "0.5";
+
+std::size_t bytes_of(const http_request& request)
+{
+    std::size_t bytes = request.target.size() + request.body.size();
+    for (const auto& field : request.headers)
+        bytes += field.name.size() + field.value.size();
+    return bytes;
+}
+
 } // namespace
 
 void server_connection::start()
 {
+    if (closed_)
+        return;
     asio::error_code ec;
     socket_.set_option(asio::ip::tcp::no_delay(true), ec);
     socket_.non_blocking(true, ec);
@@ -88,10 +111,12 @@
         return lost();
     if (phase_ == read_phase::lingering)
         return read();
+    made_progress();
     if (may_hand_over() && ahead_.empty())
         process(buffer.data(), size);
     else
         ahead_.append(buffer.data(), size);
+    update_held();
     read();
 }
 
@@ -119,6 +144,8 @@
             hand_over();
         else if (status != parse_status::need_more)
             return refuse(fault_of(status), parser_.problem());
+        else if (!has_room_for_request())
+            return refuse(http_fault_kind::no_room, "no room for the request");
     }
     if (closed_ || !parser_.started())
         return;
@@ -128,6 +155,50 @@
         send_continue();
 }
 
+// Checked before the body is read where its length is stated, and again with each part.
+bool server_connection::has_room_for_request()
+{
+    const auto expected = parser_.expected_bytes();
+    if (expected <= small_request)
+        return true;
+    const auto held = std::min(held_bytes_.load(), expected);
+    return server_->make_room((1 + copies_under_way) * expected - held);
+}
+
+// What is held for this peer: input, requests under way and answers that it has not read.
+void server_connection::update_held()
+{
+    std::size_t held = 0;
+    if (!closed_)
+    {
+        held = parser_.held_bytes() + ahead_.capacity() + out_.size();
+        for (const auto& pending : pending_)
+            held += pending->request_bytes +
+                    (pending->response ? pending->response->body.size() : 0);
+    }
+    idle_ = pending_.empty() && !parser_.started();
+    waits_for_peer_ =
+        pending_.empty() ? parser_.started() : pending_.front()->response.has_value();
+    server_->charge(held_bytes_.exchange(held), held);
+}
+
+void server_connection::evict(const std::string& reason)
+{
+    asio::dispatch(
+        strand(),
+        [self = shared_from_this(), reason]
+        {
+            if (self->closed_)
+                return;
+            self->server_->report({http_fault_kind::stalled, self->peer_, reason});
+            const bool reads =
+                self->phase_ == read_phase::request && self->pending_.empty();
+            if (!reads)
+                return self->lost();
+            self->refuse(http_fault_kind::stalled, reason);
+        });
+}
+
 void server_connection::process_ahead()
 {
     if (ahead_.empty() || !may_hand_over())
@@ -152,6 +223,7 @@
     last_request_ = !pending->keep_alive;
     auto request = parser_.take_request();
     pending->head = request.method == "HEAD";
+    pending->request_bytes = (1 + copies_under_way) * bytes_of(request);
     parser_.reset();
     auto exchange = std::make_shared<exchange_impl>(shared_from_this(), pending);
     pending->exchange = exchange;
@@ -163,13 +235,20 @@
 void server_connection::refuse(http_fault_kind kind, const std::string& problem)
 {
     stop_read_timer();
-    server_->report({kind, peer_, problem});
+    if (kind != http_fault_kind::stalled)
+        server_->report({kind, peer_, problem});
     last_request_ = true;
     auto pending = std::make_shared<pending_answer>();
     pending->keep_alive = false;
     pending->counted = false;
     pending->response = plain_response(status_of(kind), problem);
+    const bool lacks_room =
+        kind == http_fault_kind::no_room || kind == http_fault_kind::stalled;
+    if (lacks_room)
+        pending->response->headers.push_back({"Retry-After", no_room_retry_after});
     pending_.push_back(std::move(pending));
+    parser_.reset();
+    update_held();
     write_next();
 }
 
@@ -179,6 +258,15 @@
         return;
     to->exchange.reset();
     to->response = std::move(response);
+    to->request_bytes = 0;
+    // An answer cannot be refused: the request has run.
+    if (to->response->body.size() > untimed_answer &&
+        !server_->make_room(2 * to->response->body.size()))
+    {
+        server_->report({http_fault_kind::no_room, peer_, "no room for the answer"});
+        return lost();
+    }
+    update_held();
     write_next();
 }
 
@@ -189,7 +277,7 @@
     write(*pending_.front());
 }
 
-void server_connection::write(const pending_answer& answer)
+void server_connection::write(pending_answer& answer)
 {
     writing_ = true;
     // Requests that were handed over get their answers before the connection closes.
@@ -197,6 +285,8 @@
     const bool more_follow = pending_.size() > 1;
     const bool keep_alive = answer.keep_alive && (!last_request_ || more_follow);
     out_ = write_response(*answer.response, keep_alive, !answer.head);
+    std::string().swap(answer.response->body);
+    update_held();
     pending_.front()->keep_alive = keep_alive;
     written_bytes_ = 0;
     write_rest();
@@ -211,6 +301,8 @@
         [self = shared_from_this()](asio::error_code ec, std::size_t size)
         {
             self->written_bytes_ += size;
+            if (size > 0)
+                self->made_progress();
             if (ec || self->closed_ || self->written_bytes_ == self->out_.size())
                 return self->on_written(ec);
             self->write_rest();
@@ -239,6 +331,7 @@
     const auto written = pending_.front();
     pending_.pop_front();
     end_exchange(*written);
+    update_held();
     if (closed_)
         return drop_pending();
     if (ec)
@@ -345,6 +438,7 @@
     socket_.close(ec);
     stop_read_timer();
     write_timer_.cancel();
+    update_held();
     server_->remove(shared_from_this());
 }
 
--- a/src/transport/server_connection.hpp
+++ b/src/transport/server_connection.hpp
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 
+#include "fescueridge/base/clock.hpp"
 #include "fescueridge/transport/http_server.hpp"
 #include "http_message.hpp"
 #include "net.hpp"
@@ -38,6 +39,11 @@
     void remove(const std::shared_ptr<server_connection>& connection);
     void report(const http_fault& fault) const;
 
+    /// Returns whether `bytes` more may be held; else lets the peers that make no
+    /// progress go, for the benefit of later requests.
+    bool make_room(std::size_t bytes);
+    void charge(std::size_t before, std::size_t after) const;
+
     void request(http_request request, std::shared_ptr<http_exchange> exchange)
     {
         on_request_(std::move(request), std::move(exchange));
@@ -71,6 +77,9 @@
 private:
     void open(const endpoint& listen);
     void accept_later();
+    std::shared_ptr<server_connection> largest_stalled();
+    std::shared_ptr<server_connection>
+    surplus_connection(const std::shared_ptr<server_connection>& added);
 
     asio::io_context& io_;
     std::mutex mutex_;
@@ -92,6 +101,7 @@
 {
     std::weak_ptr<exchange_impl> exchange;
     std::optional<http_response> response;
+    std::size_t request_bytes = 0; ///< Charged until the answer is written.
     bool head = false;
     bool keep_alive = true;
     bool counted = true; ///< Counts as an open exchange; an error answer does not.
@@ -116,6 +126,16 @@
     strand_type strand() { return socket_.get_executor(); }
     const endpoint& peer() const { return peer_; }
 
+    /// These may be called from any thread.
+    std::size_t held_bytes() const noexcept { return held_bytes_; }
+    milliseconds stalled_for(time_point now) const noexcept
+    {
+        return now - moved_at_.load();
+    }
+    bool is_idle() const noexcept { return idle_; }
+    bool waits_for_peer() const noexcept { return waits_for_peer_; }
+    void evict(const std::string& reason);
+
 private:
     /// What the read timer bounds.
     enum class read_phase : std::uint8_t
@@ -134,8 +154,11 @@
     void send_continue();
     void hand_over();
     void refuse(http_fault_kind kind, const std::string& problem);
+    bool has_room_for_request();
+    void update_held();
+    void made_progress() noexcept { moved_at_ = clock::now(); }
     void write_next();
-    void write(const pending_answer& answer);
+    void write(pending_answer& answer);
     void write_rest();
     void start_write_timer();
     void on_written(asio::error_code ec);
@@ -164,6 +187,11 @@
     bool writing_ = false;
     bool last_request_ = false; ///< No request after this one is taken.
     bool closed_ = false;
+    std::atomic<std::size_t> held_bytes_{0};
+    std::atomic<time_point> moved_at_{clock::now()}; ///< Last bytes in either direction.
+    std::atomic<bool> idle_{true};
+    /// For the rest of a request, or for the peer to take an answer.
+    std::atomic<bool> waits_for_peer_{false};
 };
 
 class exchange_impl : public http_exchange
