Place requests by their likely cost and the remaining work of servers

Cause: placement weighed the number of requests at a server and its mean time over all of them. A server that runs many short calls looked fast, and one with a few long requests looked idle.

Change: each node learns the slot time by route and size class of the body (cost_estimator), its queue adds up what running and waiting requests still need, and both travel in the reports. Placement takes the route's time at each server and the wait for the work before it; the queue's expected wait uses what really waits. The topic of nodes is read less often, as only withdrawals are learned from it.

--- a/src/codec/gateway_codec.cpp
+++ b/src/codec/gateway_codec.cpp
@@ -240,8 +240,9 @@
            to_thousandths(m.max_rate), to_thousandths(m.queue_wait_share),
            to_thousandths(m.service_ms), to_array(m.arrivals), m.with_learned ? 1 : 0,
            to_array(m.slot_times), std::move(calls));
-    if (m.rejected_share > 0)
-        append(out, to_thousandths(m.rejected_share));
+    if (m.rejected_share > 0 || m.running_work_ms > 0 || m.waiting_work_ms > 0)
+        append(out, to_thousandths(m.rejected_share), std::llround(m.running_work_ms),
+               std::llround(m.waiting_work_ms));
 }
 
 node_report_message read_node_report(field_reader& in)
@@ -263,6 +264,11 @@
     m.calls = read_calls(in);
     if (in.has_more())
         m.rejected_share = std::clamp(from_thousandths(in), 0.0, 1.0);
+    if (in.has_more())
+    {
+        m.running_work_ms = static_cast<double>(in.number<std::int64_t>(0, max_age_ms));
+        m.waiting_work_ms = static_cast<double>(in.number<std::int64_t>(0, max_age_ms));
+    }
     return m;
 }
 
--- a/src/gateway/cluster_records.cpp
+++ b/src/gateway/cluster_records.cpp
@@ -10,9 +10,10 @@
 
 constexpr milliseconds log_operation_timeout{1'000};
 constexpr milliseconds publish_retry_delay{500};
-/// Node records are read in batches. The delay is acceptable because a starting node
-/// dials all nodes that it finds, and the links announce it to the others.
-constexpr read_delay nodes_read_delay{milliseconds{2'000}, milliseconds{6'000}};
+/// Node records are read in batches: each read of the topic is a call of every node. The
+/// delay is acceptable because a starting node dials all nodes that it finds, and the
+/// links announce it to the others; only a withdrawal is learned by reading.
+constexpr read_delay nodes_read_delay{milliseconds{3'000}, milliseconds{12'000}};
 
 constexpr const char* call_edges_key = "calls";
 
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -44,6 +44,18 @@
     return load_with_request / std::max(1U, candidate.limit);
 }
 
+/// Returns the time until a server whose slots are all in use can begin one more request:
+/// what waits there is spread over its slots, and the first of the running ones to end is
+/// likely to be near its end. Without known work, its count stands in.
+double wait_ms(const placement_candidate& candidate, double service_time_ms)
+{
+    const double slots = std::max(1U, candidate.limit);
+    if (candidate.running_work_ms <= 0 && candidate.waiting_work_ms <= 0)
+        return service_time_ms * (utilization(candidate) - 1);
+    return candidate.waiting_work_ms / slots +
+           candidate.running_work_ms / (slots * slots);
+}
+
 double typical_service_ms(const std::vector<placement_candidate>& candidates)
 {
     double sum = 0;
@@ -129,7 +141,7 @@
     if (slot_utilization > slowdown_utilization)
         cost += service_time_ms * (slot_utilization - slowdown_utilization);
     if (slot_utilization > 1)
-        cost += service_time_ms * (slot_utilization - 1);
+        cost += wait_ms(candidate, service_time_ms);
     if (candidate.node_distance != distance::same_vm)
         cost += other_vm_cost_ms;
     if (candidate.node_distance == distance::other_domain)
--- a/src/gateway/placement_test.cpp
+++ b/src/gateway/placement_test.cpp
@@ -115,3 +115,30 @@
         count_choices({failing, make_candidate("sound", distance::same_domain, 5, 20)});
     cr_expect_gt(chosen["sound"], 700);
 }
+
+// Two full servers with as many requests each: the one whose requests are short is free
+// sooner and must get more of what comes.
+Test(placement, prefers_less_remaining_work_among_full_servers)
+{
+    auto long_work = make_candidate("long", distance::same_domain, 27);
+    long_work.load.waiting = 10;
+    long_work.running_work_ms = 27 * 300;
+    long_work.waiting_work_ms = 10 * 400;
+    auto short_work = make_candidate("short", distance::same_domain, 27);
+    short_work.load.waiting = 12;
+    short_work.running_work_ms = 27 * 10;
+    short_work.waiting_work_ms = 12 * 20;
+    cr_expect_lt(placement_cost(short_work, 20), placement_cost(long_work, 20));
+    auto chosen = count_choices({long_work, short_work});
+    cr_expect_gt(chosen["short"], 900);
+}
+
+// Where nothing is known of the work, the count has to do.
+Test(placement, counts_requests_where_the_work_is_unknown)
+{
+    auto busy = make_candidate("busy", distance::same_domain, 27);
+    busy.load.waiting = 20;
+    auto less_busy = make_candidate("less", distance::same_domain, 27);
+    less_busy.load.waiting = 2;
+    cr_expect_lt(placement_cost(less_busy, 20), placement_cost(busy, 20));
+}
--- a/src/gateway/request_router.cpp
+++ b/src/gateway/request_router.cpp
@@ -152,25 +152,48 @@
     ++arrivals_[request_class].count;
 }
 
-placement_candidate request_router::own_candidate() const
+placement_candidate request_router::own_candidate(const request_state& request) const
 {
-    return {settings_.node,    distance::same_vm,      executor_.load(),
-            executor_.limit(), executor_.service_ms(), own_failure_rate_.value()};
+    node_report_message own;
+    executor_.fill_report(own);
+    placement_candidate candidate;
+    candidate.node = settings_.node;
+    candidate.node_distance = distance::same_vm;
+    candidate.load = own.load;
+    candidate.limit = own.limit;
+    candidate.service_ms = executor_.service_ms(request.message.route);
+    candidate.failure_rate = own_failure_rate_.value();
+    candidate.running_work_ms = own.running_work_ms;
+    candidate.waiting_work_ms = own.waiting_work_ms;
+    return candidate;
 }
 
-placement_candidate request_router::candidate_of(const peer& other) const
+// What was sent since the report waits there as far as it exceeds the slots.
+placement_candidate request_router::candidate_of(const peer& other,
+                                                 const request_state& request) const
 {
+    const auto& report = other.report;
     placement_candidate candidate;
     candidate.node = other.record.node;
     candidate.node_distance = other.record.domain == settings_.domain
                                   ? distance::same_domain
                                   : distance::other_domain;
-    candidate.load = other.report.load;
+    candidate.load = report.load;
     candidate.load.running =
         std::max(candidate.load.running + other.sent_since_report, other.in_flight);
-    candidate.limit = other.report.limit;
-    candidate.service_ms = other.report.service_ms;
+    candidate.limit = report.limit;
+    candidate.service_ms = report.service_ms;
+    for (const auto& time : report.slot_times)
+        if (time.route == request.message.route)
+            candidate.service_ms = time.ms;
     candidate.failure_rate = other.failures.value();
+    candidate.running_work_ms = report.running_work_ms;
+    candidate.waiting_work_ms = report.waiting_work_ms;
+    const auto busy = candidate.load.running + candidate.load.waiting;
+    const auto reported = report.load.running + report.load.waiting;
+    if (busy > std::max(reported, candidate.limit))
+        candidate.waiting_work_ms +=
+            (busy - std::max(reported, candidate.limit)) * candidate.service_ms;
     return candidate;
 }
 
@@ -187,13 +210,13 @@
     const auto& own = executor_.server();
     if (executor_.accepts() && own && own->service == service &&
         !is_tried(settings_.node))
-        found.push_back(own_candidate());
+        found.push_back(own_candidate(request));
     for (const auto& [node, other] : peers_.all())
     {
         const auto& report = other.report;
         if (report.accepting && report.server && report.server->service == service &&
             !is_tried(node) && !peers_.is_unresponsive(other))
-            found.push_back(candidate_of(other));
+            found.push_back(candidate_of(other, request));
     }
     return found;
 }
--- a/src/gateway/run_executor.cpp
+++ b/src/gateway/run_executor.cpp
@@ -317,6 +317,9 @@
     report.max_rate = queue_.max_rate();
     report.queue_wait_share = queue_.wait_share(clock::now());
     report.service_ms = queue_.slot_ms();
+    const auto work = queue_.work(clock::now());
+    report.running_work_ms = work.running_ms;
+    report.waiting_work_ms = work.waiting_ms;
     report.rejected_share = rejections_.share(clock::now());
 }
 
@@ -324,7 +327,7 @@
 {
     report.with_learned = true;
     report.calls = call_graph_.edges();
-    for (const auto& [route, ms] : queue_.slot_times())
+    for (const auto& [route, ms] : queue_.slot_times(clock::now()))
         report.slot_times.push_back({route, ms});
 }
 
@@ -370,10 +373,11 @@
         fail_run(number, forward_result::not_run, *reason, false);
         return number;
     }
-    const auto decision = queue_.offer({number, run_entry.call.route, run_entry.deadline,
-                                        run_entry.call.target_latency,
-                                        run_entry.call.from_server, run_entry.call.rank},
-                                       now);
+    const auto decision =
+        queue_.offer({number, run_entry.call.route, run_entry.deadline,
+                      run_entry.call.target_latency, run_entry.call.from_server,
+                      run_entry.call.rank, size_class_of(run_entry.call.body.size())},
+                     now);
     if (std::holds_alternative<run_started>(decision))
         start_run(number);
     else if (const auto* rejected = std::get_if<run_rejected>(&decision))
--- a/src/gateway/run_queue.cpp
+++ b/src/gateway/run_queue.cpp
@@ -9,10 +9,6 @@
 namespace
 {
 
-/// Weight of a new sample in the moving average of slot times: covers about the last 20
-/// requests.
-constexpr double slot_time_weight = 0.05;
-
 /// Weight of a new sample in the moving average of waits: covers about the last 50
 /// starts.
 constexpr double wait_weight = 0.02;
@@ -38,16 +34,31 @@
 
 } // namespace
 
-double run_queue::slot_ms(const route_name& route) const
+double run_queue::expected_slot_ms(const run_offer& run) const
 {
-    const auto found = slot_ms_by_route_.find(route);
-    return found == slot_ms_by_route_.end() ? 0 : found->second;
+    return costs_.expected_ms(run.route, run.size);
 }
 
-double run_queue::expected_slot_ms(const route_name& route) const
+// Mean over the waiting requests: they may differ from those that were completed of late.
+double run_queue::mean_waiting_ms() const
 {
-    const double known = slot_ms(route);
-    return known > 0 ? known : slot_ms_;
+    return waiting() == 0 ? costs_.mean_ms() : waiting_ms_ / waiting();
+}
+
+void run_queue::forget_waiting(const waiting_run& run)
+{
+    // Rounding must not add up.
+    waiting_ms_ = waiting() == 0 ? 0 : waiting_ms_ - run.expected_ms;
+}
+
+remaining_work run_queue::work(time_point now) const
+{
+    remaining_work result;
+    for (const auto& [number, run] : running_)
+        result.running_ms +=
+            costs_.remaining_ms(run.route, run.size, to_ms(now - run.since));
+    result.waiting_ms = waiting_ms_;
+    return result;
 }
 
 double run_queue::wait_share(time_point now) const
@@ -65,7 +76,7 @@
         static_cast<std::size_t>(std::distance(own.begin(), own.lower_bound(key)));
     const auto ahead = before + std::min(before + 1, other.size());
     const auto position = static_cast<double>(ahead + 1);
-    const double slot_wait_ms = position * slot_ms_ / std::max(1U, limit_);
+    const double slot_wait_ms = position * mean_waiting_ms() / std::max(1U, limit_);
     return rate_ ? std::max(slot_wait_ms, position * ms_per_s / rate_->rate().get())
                  : slot_wait_ms;
 }
@@ -82,15 +93,15 @@
 
 std::uint32_t run_queue::usable_limit() const
 {
-    if (!rate_ || slot_ms_ <= 0)
+    if (!rate_ || slot_ms() <= 0)
         return limit_;
-    const double running = rate_->rate().get() * slot_ms_ / ms_per_s;
+    const double running = rate_->rate().get() * slot_ms() / ms_per_s;
     return std::min(limit_, static_cast<std::uint32_t>(std::ceil(running)));
 }
 
 offer_decision run_queue::offer(const run_offer& run, time_point now)
 {
-    if (now + from_ms(expected_slot_ms(run.route) / 2) >= run.deadline)
+    if (now + from_ms(expected_slot_ms(run) / 2) >= run.deadline)
         return run_rejected{true};
     if (running_.size() < limit_ && waiting() == 0)
     {
@@ -103,21 +114,23 @@
     }
     const double wait_ms = expected_wait_ms(run, now);
     const bool ends_late =
-        now + from_ms(wait_ms + expected_slot_ms(run.route) / 2) >= run.deadline;
+        now + from_ms(wait_ms + expected_slot_ms(run) / 2) >= run.deadline;
     const bool too_long =
         !run.from_server && wait_ms > max_client_wait_share * to_ms(run.target_latency);
     if (limit_ == 0 || ends_late || too_long)
         return run_rejected{};
     const order_key key{run.rank, now + run.target_latency, next_order_++};
     waiting_queue& queue = run.from_server ? calls_ : clients_;
-    queue.emplace(key, waiting_run{run, now});
+    const double expected_ms = expected_slot_ms(run);
+    queue.emplace(key, waiting_run{run, now, expected_ms});
+    waiting_ms_ += expected_ms;
     positions_.emplace(run.number, queue_position{&queue, key});
     return run_queued{};
 }
 
 void run_queue::start_run(const run_offer& run, time_point arrival, time_point now)
 {
-    running_.emplace(run.number, running_run{run.route, now});
+    running_.emplace(run.number, running_run{run.route, run.size, now});
     if (rate_)
         rate_->try_take(now);
     record_wait(run, arrival, now);
@@ -133,7 +146,7 @@
 
 bool run_queue::is_expired(const waiting_run& run, time_point now) const
 {
-    if (now + from_ms(expected_slot_ms(run.offer.route) / 2) >= run.offer.deadline)
+    if (now + from_ms(expected_slot_ms(run.offer) / 2) >= run.offer.deadline)
         return true;
     // Twice the limit of offer(), because the actual wait may exceed the expected one.
     const double max_wait_ms =
@@ -165,6 +178,7 @@
     auto next = std::move(first->second);
     from.erase(first);
     positions_.erase(next.offer.number);
+    forget_waiting(next);
     return next;
 }
 
@@ -180,15 +194,9 @@
     const auto found = running_.find(number);
     if (found == running_.end())
         return dequeued;
-    if (sample && found->second.sampled)
-    {
-        const double ms = to_ms(now - found->second.since);
-        double& route_slot_ms = slot_ms_by_route_[found->second.route];
-        route_slot_ms = route_slot_ms > 0
-                            ? route_slot_ms + slot_time_weight * (ms - route_slot_ms)
-                            : ms;
-        slot_ms_ = slot_ms_ > 0 ? slot_ms_ + slot_time_weight * (ms - slot_ms_) : ms;
-    }
+    const running_run& ended = found->second;
+    if (sample && ended.sampled)
+        costs_.record(ended.route, ended.size, to_ms(now - ended.since), now);
     running_.erase(found);
     start_waiting(now, dequeued);
     return dequeued;
@@ -199,8 +207,11 @@
     const auto found = positions_.find(number);
     if (found == positions_.end())
         return finish(number, now, false);
-    found->second.queue->erase(found->second.key);
+    const auto entry = found->second.queue->find(found->second.key);
+    const auto cancelled = entry->second;
+    found->second.queue->erase(entry);
     positions_.erase(found);
+    forget_waiting(cancelled);
     return {};
 }
 
@@ -224,8 +235,10 @@
         }
         record_wait(it->second.offer, it->second.arrival, now);
         dequeued.to_drop.push_back(it->second.offer.number);
-        positions_.erase(it->second.offer.number);
+        const auto expired = it->second;
+        positions_.erase(expired.offer.number);
         it = from.erase(it);
+        forget_waiting(expired);
     }
 }
 
@@ -237,6 +250,7 @@
             dropped.push_back(run.offer.number);
     clients_.clear();
     calls_.clear();
+    waiting_ms_ = 0;
     positions_.clear();
     return dropped;
 }
--- a/src/gateway/run_queue_test.cpp
+++ b/src/gateway/run_queue_test.cpp
@@ -226,3 +226,22 @@
     }
     cr_expect_gt(lookups_in_time, lookups * 0.8, "%u of %u", lookups_in_time, lookups);
 }
+
+// Placement counts on the work that a server still has to do. It must follow arrivals,
+// starts and cancellations, and end at zero.
+Test(run_queue, states_the_remaining_work)
+{
+    run_queue queue(2);
+    record_slot_time(queue);
+    for (std::uint64_t i = 1; i <= 5; ++i)
+        queue.offer(make_offer(i, 3'000, 7'000, start), start);
+    const auto later = start + milliseconds{5};
+    cr_expect_float_eq(queue.work(later).running_ms, 2 * 15, 1e-9);
+    cr_expect_float_eq(queue.work(later).waiting_ms, 3 * 20, 1e-9);
+    queue.cancel(run_number(5), later);
+    cr_expect_float_eq(queue.work(later).waiting_ms, 2 * 20, 1e-9);
+    for (std::uint64_t i = 1; i <= 4; ++i)
+        queue.finish(run_number(i), start + milliseconds{20});
+    cr_expect_eq(queue.work(later).running_ms, 0);
+    cr_expect_eq(queue.work(later).waiting_ms, 0);
+}
--- a/src/include/fescueridge/codec/gateway_messages.hpp
+++ b/src/include/fescueridge/codec/gateway_messages.hpp
@@ -157,6 +157,9 @@
     std::vector<call_edge> calls;
     /// Fraction of the requests that the server turned away of late without running them.
     double rejected_share = 0;
+    /// Time that the requests at the server are still likely to need; 0 when unknown.
+    double running_work_ms = 0;
+    double waiting_work_ms = 0;
 };
 
 /// Asks for the routing configuration if it is newer than `have`.
--- a/src/include/fescueridge/gateway/placement.hpp
+++ b/src/include/fescueridge/gateway/placement.hpp
@@ -26,13 +26,17 @@
     distance node_distance = distance::other_domain;
     server_load load;
     std::uint32_t limit = 1;
-    double service_ms = 0;   ///< Mean time at the server; 0 when unknown.
+    double service_ms = 0;   ///< Likely time of the request there; 0 when unknown.
     double failure_rate = 0; ///< Fraction of recent requests that it failed, 0 to 1.
+    /// Time that the requests there are still likely to need; both 0 when unknown.
+    double running_work_ms = 0;
+    double waiting_work_ms = 0;
 };
 
 /// Returns the expected cost of a candidate in milliseconds: the time at the server,
-/// increased when nearly all of its slots are in use, the wait when all are, a premium
-/// for leaving the VM and the failure domain, and a penalty for failures.
+/// increased when nearly all of its slots are in use, the wait for the work before it
+/// when all are, a premium for leaving the VM and the failure domain, and a penalty for
+/// failures.
 double placement_cost(const placement_candidate& candidate, double typical_service_ms);
 
 /// Chooses a server by two random choices: draws two servers of the own failure domain
--- a/src/include/fescueridge/gateway/request_router.hpp
+++ b/src/include/fescueridge/gateway/request_router.hpp
@@ -131,8 +131,9 @@
     bool try_admit(const request_ptr& request);
     void place_request(const request_ptr& request);
     std::vector<placement_candidate> candidates(const request_state& request) const;
-    placement_candidate own_candidate() const;
-    placement_candidate candidate_of(const peer& other) const;
+    placement_candidate own_candidate(const request_state& request) const;
+    placement_candidate candidate_of(const peer& other,
+                                     const request_state& request) const;
     void send_attempt(const request_ptr& request, const node_id& node);
     void on_reply(const request_ptr& request, forward_reply_message reply);
     void on_not_run(const request_ptr& request, const forward_reply_message& reply);
--- a/src/include/fescueridge/gateway/run_executor.hpp
+++ b/src/include/fescueridge/gateway/run_executor.hpp
@@ -104,6 +104,13 @@
 
     /// Moving average of the time at the server, in milliseconds; 0 when unknown.
     double service_ms() const noexcept { return queue_.slot_ms(); }
+
+    /// Moving average for a route, or for all requests when it was not measured.
+    double service_ms(const route_name& route) const
+    {
+        const double known = queue_.slot_ms(route);
+        return known > 0 ? known : queue_.slot_ms();
+    }
     const std::optional<server_record>& server() const { return tracker_.server(); }
 
     /// Fills in the fields of a report that describe the server.
--- a/src/include/fescueridge/gateway/run_queue.hpp
+++ b/src/include/fescueridge/gateway/run_queue.hpp
@@ -10,6 +10,7 @@
 
 #include "fescueridge/base/clock.hpp"
 #include "fescueridge/base/types.hpp"
+#include "fescueridge/gateway/cost_estimator.hpp"
 #include "fescueridge/overload/limits.hpp"
 
 namespace fescueridge::gateway
@@ -26,6 +27,14 @@
     milliseconds target_latency{0}; ///< Measured from its arrival.
     bool from_server = false;       ///< Call of a request that already runs elsewhere.
     priority rank;                  ///< Of the client request that it is part of.
+    size_class size{};              ///< Of its body.
+};
+
+/// Time that the requests at a server are still likely to need, in milliseconds.
+struct remaining_work
+{
+    double running_ms = 0;
+    double waiting_ms = 0;
 };
 
 struct run_started
@@ -113,18 +122,21 @@
     }
 
     /// Moving average of the slot time, in milliseconds; 0 when nothing was measured.
-    double slot_ms() const noexcept { return slot_ms_; }
+    double slot_ms() const noexcept { return costs_.mean_ms(); }
 
     /// Moving average of the slot time of one route, in milliseconds; 0 when nothing was
     /// measured.
-    double slot_ms(const route_name& route) const;
+    double slot_ms(const route_name& route) const { return costs_.mean_ms(route); }
 
-    /// Moving averages of the slot times of all measured routes, in milliseconds.
-    const std::unordered_map<route_name, double>& slot_times() const noexcept
+    /// Moving averages of the slot times of the routes measured of late, in milliseconds.
+    std::unordered_map<route_name, double> slot_times(time_point now) const
     {
-        return slot_ms_by_route_;
+        return costs_.recent_means(now);
     }
 
+    /// Returns what the running and waiting requests are still likely to need.
+    remaining_work work(time_point now) const;
+
     /// Moving average of the wait for a slot as a fraction of the target latency.
     double wait_share(time_point now) const;
 
@@ -133,10 +145,12 @@
     {
         run_offer offer;
         time_point arrival;
+        double expected_ms = 0; ///< Its likely slot time, as of its arrival.
     };
     struct running_run
     {
         route_name route;
+        size_class size;
         time_point since;
         bool sampled = true; ///< Its slot time counts for the means.
     };
@@ -160,7 +174,9 @@
     };
 
     double expected_wait_ms(const run_offer& run, time_point now) const;
-    double expected_slot_ms(const route_name& route) const;
+    double expected_slot_ms(const run_offer& run) const;
+    double mean_waiting_ms() const;
+    void forget_waiting(const waiting_run& run);
     bool is_expired(const waiting_run& run, time_point now) const;
     bool rate_permits_start(time_point now);
     void start_run(const run_offer& run, time_point arrival, time_point now);
@@ -175,11 +191,11 @@
     std::uint64_t next_order_ = 0;
     waiting_queue clients_; ///< Client requests.
     waiting_queue calls_;   ///< Calls of running requests.
+    double waiting_ms_ = 0; ///< Sum of the likely slot times of both queues.
     bool client_is_next_ = true;
     std::unordered_map<run_number, queue_position> positions_;
     std::unordered_map<run_number, running_run> running_;
-    std::unordered_map<route_name, double> slot_ms_by_route_;
-    double slot_ms_ = 0;
+    cost_estimator costs_;
     double wait_share_ = 0;
     time_point last_wait_sample_{};
 };
--- a/src/overload/quota_exchange_test.cpp
+++ b/src/overload/quota_exchange_test.cpp
@@ -80,6 +80,12 @@
         }
     }
 
+    void restart_all()
+    {
+        for (std::size_t i = 0; i < nodes_.size(); ++i)
+            start(i);
+    }
+
     std::size_t asked() const { return asked_; }
     std::size_t admitted() const { return admitted_at_.size(); }
 
@@ -356,6 +362,29 @@
     }
 }
 
+// A long pause must not save up more than the burst, and a restart of every process must
+// not give out again what was spent.
+Test(quota_exchange, holds_after_pauses_and_restarts_of_all_processes)
+{
+    for (const auto& limit : {limit_of(10, 200), limit_of(30, 30), limit_of(200, 200)})
+    {
+        constexpr double demand_per_s = 2'000;
+        fleet paused(6, limit, {}, 1);
+        paused.play(60'000, 0);
+        paused.play(6'000, demand_per_s);
+        cr_expect_leq(static_cast<double>(paused.worst_window()), most_in_window(limit));
+        fleet restarted(6, limit, {}, 1);
+        restarted.play(3'000, 0);
+        for (int restart = 0; restart < 4; ++restart)
+        {
+            restarted.play(1'300, demand_per_s);
+            restarted.restart_all();
+        }
+        cr_expect_leq(static_cast<double>(restarted.worst_window()),
+                      most_in_window(limit));
+    }
+}
+
 // Homes that differ between nodes would create a quota more than once.
 Test(quota_exchange, chooses_homes_by_the_set_of_nodes)
 {
