--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -1,15 +1,8 @@
-#include "fescueridge/gateway/gateway_node.hpp"
+#include "gateway_node_impl.hpp"
 
-#include <asio/io_context.hpp>
 #include <asio/post.hpp>
-#include <asio/steady_timer.hpp>
 
 #include "fescueridge/base/error.hpp"
-#include "fescueridge/gateway/cluster_records.hpp"
-#include "fescueridge/gateway/report_schedule.hpp"
-#include "fescueridge/gateway/request_router.hpp"
-#include "fescueridge/gateway/stop_schedule.hpp"
-#include "fescueridge/gateway/topic_follower.hpp"
 #include "metrics_text.hpp"
 
 namespace fescueridge::gateway
@@ -28,81 +21,8 @@
 /// Maximum number of concurrent requests on one client connection.
 constexpr std::size_t max_pipelined_requests = 16;
 
-/// Minimum time between pulls of the configuration from peers.
-constexpr milliseconds config_pull_interval{100};
-
 } // namespace
 
-class gateway_node::impl
-{
-public:
-    impl(asio::io_context& io, node_settings settings, const wire_format& wire,
-         keyed_log& log);
-
-    void stop();
-    void log_settings_reload(bool usable, const std::string& detail);
-    void set_service(const service_name& service);
-
-private:
-    using timer_ptr = std::shared_ptr<asio::steady_timer>;
-
-    http_server_options control_server_options() const;
-    void run_every(milliseconds interval, std::function<void()> action);
-    peer_callbacks make_peer_callbacks();
-    cluster_callbacks make_cluster_callbacks();
-    void start_following();
-    void on_log_restored();
-
-    void configure_executor();
-    void apply_config(const std::string& content, const char* source);
-    void store_call_edges();
-
-    void handle_readiness(const http_request& request, http_exchange& exchange);
-    void handle_announcement(const http_request& request, http_exchange& exchange);
-    void reject_announcement(const std::string& detail, http_exchange& exchange);
-
-    void on_forward(const link_ptr& from, forward_message message);
-    void send_reply(const link_ptr& to, const forward_reply_message& reply);
-    void on_cancel(const link_ptr& from, std::uint64_t number);
-    void on_recall(const link_ptr& from, std::uint64_t number);
-    void on_link_closed(const link_ptr& closed);
-    void on_report(const peer& from);
-
-    node_report_message make_report(bool with_learned);
-    void send_report();
-    void schedule_report();
-    void check_stop();
-    void finish_stop();
-
-    asio::io_context& io_;
-    const node_settings settings_;
-    service_name service_; ///< Of this VM; the settings may change it.
-    const wire_format& wire_;
-    keyed_log& log_;
-    event_log events_;
-    decision_log decisions_;
-    run_executor executor_;
-    peers peers_;
-    request_router router_;
-    cluster_records records_;
-    std::shared_ptr<byte_account> client_bytes_;
-    std::map<http_fault_kind, std::uint64_t> client_faults_;
-    std::unique_ptr<http_server> request_server_;
-    std::unique_ptr<http_server> ready_server_;
-    std::unique_ptr<http_server> announcement_server_;
-    std::shared_ptr<topic_follower> config_follower_;
-    std::shared_ptr<const route_table> table_;
-    std::string config_text_;
-    std::map<std::pair<link*, std::uint64_t>, run_number> remote_runs_;
-    std::vector<timer_ptr> timers_;
-    report_schedule report_schedule_{clock::now()};
-    bool report_pending_ = false;
-    time_point next_config_pull_{};
-    const stop_schedule stop_schedule_;
-    std::optional<time_point> stopping_since_;
-    bool finished_ = false;
-};
-
 gateway_node::impl::impl(asio::io_context& io, node_settings settings,
                          const wire_format& wire, keyed_log& log)
     : io_(io), settings_(std::move(settings)), service_(settings_.service), wire_(wire),
@@ -204,65 +124,6 @@
     (*start_timer)();
 }
 
-peer_callbacks gateway_node::impl::make_peer_callbacks()
-{
-    peer_callbacks callbacks;
-    callbacks.on_forward = [this](const link_ptr& from, forward_message message)
-    {
-        on_forward(from, std::move(message));
-    };
-    callbacks.on_cancel =
-        [this](const link_ptr& from, const forward_cancel_message& message)
-    {
-        on_cancel(from, message.number);
-    };
-    callbacks.on_recall =
-        [this](const link_ptr& from, const forward_recall_message& message)
-    {
-        on_recall(from, message.number);
-    };
-    callbacks.on_link_closed = [this](const link_ptr& closed)
-    {
-        on_link_closed(closed);
-    };
-    callbacks.on_link_open = [this](const link_ptr& opened)
-    {
-        opened->send(make_report(true));
-    };
-    callbacks.on_report = [this](const peer& from)
-    {
-        on_report(from);
-    };
-    callbacks.on_config_pull =
-        [this](const link_ptr& from, const config_pull_message& pull)
-    {
-        if (table_ && pull.have < table_->config().version)
-            from->send(config_push_message{table_->config().version, config_text_});
-    };
-    callbacks.on_config_push = [this](const config_push_message& push)
-    {
-        apply_config(push.content, "peer");
-    };
-    callbacks.on_suspect = [this](const suspect_message& suspect)
-    {
-        executor_.on_suspect(suspect);
-    };
-    callbacks.on_quota_ask = [this](const link_ptr& from, const quota_ask_message& ask)
-    {
-        router_.quotas().on_ask(from, ask);
-    };
-    callbacks.on_quota_grant =
-        [this](const link_ptr& from, const quota_grant_message& grant)
-    {
-        router_.quotas().on_grant(from, grant);
-    };
-    callbacks.on_own_server = [this](const own_server_message& own)
-    {
-        executor_.on_server_record_from_peer(own);
-    };
-    return callbacks;
-}
-
 cluster_callbacks gateway_node::impl::make_cluster_callbacks()
 {
     cluster_callbacks callbacks;
@@ -425,83 +286,6 @@
     exchange.respond({400, {{"Content-Type", "text/plain"}}, "unusable\n"});
 }
 
-void gateway_node::impl::on_forward(const link_ptr& from, forward_message message)
-{
-    const std::pair key{from.get(), message.number};
-    auto answered = std::make_shared<bool>(false);
-    const run_number run =
-        executor_.submit(std::move(message),
-                         [this, from, key, answered](const forward_reply_message& reply)
-                         {
-                             *answered = true;
-                             remote_runs_.erase(key);
-                             send_reply(from, reply);
-                         });
-    if (!*answered)
-        remote_runs_[key] = run;
-}
-
-// An answer for which the links have no room is replaced: it has run.
-void gateway_node::impl::send_reply(const link_ptr& to,
-                                    const forward_reply_message& reply)
-{
-    if (to->send(reply) || reply.body.empty())
-        return;
-    forward_reply_message lost;
-    lost.number = reply.number;
-    lost.result = forward_result::unknown;
-    lost.failure = forward_failure::server_broke_off;
-    lost.load = reply.load;
-    to->send(lost);
-}
-
-void gateway_node::impl::on_cancel(const link_ptr& from, std::uint64_t number)
-{
-    const auto found = remote_runs_.find({from.get(), number});
-    if (found == remote_runs_.end())
-        return;
-    const run_number run = found->second;
-    remote_runs_.erase(found);
-    executor_.cancel(run);
-}
-
-void gateway_node::impl::on_recall(const link_ptr& from, std::uint64_t number)
-{
-    const auto found = remote_runs_.find({from.get(), number});
-    if (found != remote_runs_.end())
-        executor_.recall(found->second);
-}
-
-// Cancels the runs of the closed link, because their answers cannot be delivered.
-void gateway_node::impl::on_link_closed(const link_ptr& closed)
-{
-    std::vector<run_number> runs;
-    for (auto it = remote_runs_.lower_bound({closed.get(), 0});
-         it != remote_runs_.end() && it->first.first == closed.get();)
-    {
-        runs.push_back(it->second);
-        it = remote_runs_.erase(it);
-    }
-    for (const run_number run : runs)
-        executor_.cancel(run);
-}
-
-void gateway_node::impl::on_report(const peer& from)
-{
-    const auto have = table_ ? table_->config().version : config_version(0);
-    const auto now = clock::now();
-    if (from.report.version <= have)
-    {
-        if (table_)
-            config_follower_->confirm(now - from.report.config_unconfirmed_for);
-        return;
-    }
-    if (now < next_config_pull_ || !from.connection)
-        return;
-    next_config_pull_ = now + config_pull_interval;
-    from.connection->send(config_pull_message{have});
-}
-
 node_report_message gateway_node::impl::make_report(bool with_learned)
 {
     node_report_message report;
@@ -535,57 +319,6 @@
                });
 }
 
-void gateway_node::impl::stop()
-{
-    if (stopping_since_)
-        return;
-    stopping_since_ = clock::now();
-    decisions_.record(
-        log_event::node_stopping,
-        {{"open_requests", static_cast<std::int64_t>(router_.open_requests())},
-         {"open_runs", static_cast<std::int64_t>(executor_.open_runs())}});
-    executor_.stop_accepting();
-    router_.quotas().stop_granting();
-    request_server_->close_after_answers();
-    peers_.broadcast(make_report(false));
-    records_.withdraw_node_record();
-}
-
-void gateway_node::impl::check_stop()
-{
-    if (!stopping_since_)
-        return;
-    const auto passed = clock::now() - *stopping_since_;
-    if (passed >= stop_schedule_.reject_clients)
-        router_.reject_clients();
-    if (passed >= stop_schedule_.recall_waiting)
-        router_.recall_waiting();
-    if (passed >= stop_schedule_.answer_all)
-        router_.answer_all();
-    const bool answers_written = request_server_->open_exchanges() == 0;
-    const bool idle =
-        answers_written && router_.open_requests() == 0 && executor_.open_runs() == 0;
-    const bool out_of_time =
-        passed >= (answers_written ? stop_schedule_.answer_all : stop_schedule_.end);
-    if (out_of_time || (idle && passed >= stop_schedule_.reject_clients))
-        finish_stop();
-}
-
-void gateway_node::impl::finish_stop()
-{
-    finished_ = true;
-    decisions_.record(
-        log_event::node_stopped,
-        {{"open_requests", static_cast<std::int64_t>(router_.open_requests())},
-         {"open_runs", static_cast<std::int64_t>(executor_.open_runs())}});
-    decisions_.flush();
-    for (const auto& timer : timers_)
-        timer->cancel();
-    config_follower_->stop();
-    records_.stop();
-    io_.stop();
-}
-
 void gateway_node::impl::log_settings_reload(bool usable, const std::string& detail)
 {
     decisions_.record(usable ? log_event::settings_reloaded
--- a/src/transport/byte_account_test.cpp
+++ b/src/transport/byte_account_test.cpp
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <mutex>
+#include <random>
 #include <thread>
 #include <vector>
 
@@ -131,3 +132,49 @@
     idle.back()->send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
     cr_expect(eventually([&] { return limited.requests() == 1; }));
 }
+
+// Whatever a client sends, reads or leaves open, in whichever order, its room has to be
+// given back when it is gone.
+Test(byte_account, returns_to_zero_after_any_sequence, .timeout = 60)
+{
+    const std::vector<std::string> pieces{
+        "GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost",
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 50000\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "4000\r\n" + std::string(0x4000, 'x') + "\r\n",
+        "1\r\nx\r\n",
+        "0\r\n\r\n",
+        "4\r\nxx",
+        std::string(20'000, 'y'),
+        ": : :\r\n\r\n"};
+    limited_server limited(8);
+    std::mt19937 random(1);
+    const auto draw = [&](std::size_t count)
+    {
+        return random() % count;
+    };
+    for (int sequence = 0; sequence < 150; ++sequence)
+    {
+        std::vector<std::unique_ptr<raw_peer>> peers;
+        for (auto steps = 2 + draw(8); steps > 0; --steps)
+        {
+            if (peers.empty() || draw(4) == 0)
+                peers.push_back(std::make_unique<raw_peer>(limited.server.bound()));
+            peers[draw(peers.size())]->try_send(pieces[draw(pieces.size())]);
+            if (draw(3) == 0)
+                limited.answer_all();
+            if (draw(5) == 0)
+                peers.erase(peers.begin());
+        }
+        peers.clear();
+        limited.answer_all();
+        cr_assert(eventually(
+                      [&]
+                      {
+                          limited.answer_all();
+                          return limited.account->used() == 0;
+                      }),
+                  "sequence %d: %zu bytes are left", sequence, limited.account->used());
+    }
+}
