--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -230,6 +230,17 @@
     result.threads = static_cast<unsigned>(reader.number("threads", 1, 1, 64));
     result.drain_timeout =
         milliseconds(reader.number("drain_timeout_ms", 30'000, 0, 3'600'000, unit));
+    constexpr std::int64_t default_caller_mb = 64;
+    constexpr std::int64_t most_caller_mb = 65'536;
+    constexpr std::size_t bytes_per_mb = std::size_t{1024} * 1024;
+    result.caller_bytes =
+        bytes_per_mb *
+        static_cast<std::size_t>(reader.number("caller_memory_mb", default_caller_mb, 1,
+                                               most_caller_mb, " of megabytes"));
+    constexpr std::int64_t default_connections = 8'192;
+    constexpr std::int64_t most_connections = 1'000'000;
+    result.caller_connections = static_cast<std::size_t>(
+        reader.number("caller_connections", default_connections, 1, most_connections));
     if (const json* experiment = reader.find("experiment"))
     {
         result.control = read_experiment(*experiment, file);
--- a/src/include/fescueridge/base/settings.hpp
+++ b/src/include/fescueridge/base/settings.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <vector>
@@ -35,6 +36,8 @@
     /// call: 7 to 8 wake-ups a call and node instead of 2 to 3.
     unsigned threads = 1;
     milliseconds drain_timeout{30'000};
+    std::size_t caller_bytes = 0; ///< Most bytes held for callers; see byte_account.
+    std::size_t caller_connections = 0; ///< Most connections of callers.
     control_policy control; ///< For benchmarks only: baselines to compare with.
 };
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -117,21 +117,25 @@
     {
         return std::make_unique<http_server>(io_, listen, std::move(handler), options);
     };
-    caller_port_ =
-        open_port("listen.caller",
-                  [&]
-                  {
-                      return serve_http(
-                          settings_.listen_caller,
-                          [this](http_request request,
-                                 const std::shared_ptr<http_exchange>& exchange) {
-                              call_ports_.on_caller_request(std::move(request), exchange);
-                          });
-                  });
+    caller_port_ = open_port(
+        "listen.caller",
+        [&]
+        {
+            options.account = std::make_shared<byte_account>(settings_.caller_bytes);
+            options.max_connections = settings_.caller_connections;
+            return serve_http(
+                settings_.listen_caller,
+                [this](http_request request,
+                       const std::shared_ptr<http_exchange>& exchange)
+                { call_ports_.on_caller_request(std::move(request), exchange); });
+        });
     server_port_ =
         open_port("listen.server",
                   [&]
                   {
+                      // The own backend server keeps to its limits.
+                      options.account = nullptr;
+                      options.max_connections = 0;
                       return serve_http(
                           settings_.listen_server,
                           [this](http_request request,
--- a/testsuite/settings_faults/settings_faults.py
+++ b/testsuite/settings_faults/settings_faults.py
@@ -76,6 +76,7 @@
         ("wrong unit", "drain_timeout_ms", "30 s", "whole number of milliseconds"),
         ("fraction of a unit", "log_retention_ms", 0.5, "whole number of milliseconds"),
         ("out of range", "threads", 0, "from 1 to 64"),
+        ("no room for callers", "caller_memory_mb", 0, "from 1 to 65536"),
         ("no port", "listen.caller", "127.0.0.1", "is not an address:port"),
         ("a name in place of an address", "log_service", "localhost:80", "address:port"),
         ("missing key", "failure_domain", None, "is missing"),
