--- a/src/overload/quota_exchange.cpp
+++ b/src/overload/quota_exchange.cpp
@@ -80,6 +80,7 @@
     std::vector<node_id> domains;
     for (const auto& member : members)
         by_domain[member.domain].push_back(member.node);
+    domains.reserve(by_domain.size());
     for (const auto& [domain, nodes] : by_domain)
         domains.emplace_back(domain.get());
     const double capacity = std::max(limit.burst, limit.rate.get() * min_capacity_s);
