--- a/src/include/fescueridge/gateway/admission_plan.hpp
+++ b/src/include/fescueridge/gateway/admission_plan.hpp
@@ -78,8 +78,8 @@
 /// request with several calls there hardly ever ends well unless its calls are retried.
 /// Requests with little chance are admitted as far as the retries that all nodes share
 /// cover their calls, by priority, and a small part beyond that shows when the service
-/// has recovered. A request with a fair chance is not held back,
-/// nor a client retry that may fail without harm: its caller has no further try.
+/// has recovered. A request with a fair chance is not held back, nor a client retry that
+/// may fail without harm: its caller has no further try.
 class_shares admitted_shares(std::vector<class_demand> demands, service_capacity capacity,
                              std::map<service_name, service_rejections> rejections = {});
 
--- a/src/include/fescueridge/gateway/node_retry_budget.hpp
+++ b/src/include/fescueridge/gateway/node_retry_budget.hpp
@@ -28,7 +28,7 @@
     /// Keeps the inflow of a service for one window at its mean of the last window,
     /// because fewer requests are admitted while its servers turn requests away. The
     /// shared budget counts the requests of the window before, too. Has no effect while
-    /// it is kept or was kept within the last two windows.
+    /// it is kept and for a window afterwards.
     void keep_inflow(const service_name& service, time_point now);
 
     /// Returns whether the inflow of a service is kept.
--- a/src/include/fescueridge/gateway/routing_config.hpp
+++ b/src/include/fescueridge/gateway/routing_config.hpp
@@ -35,8 +35,7 @@
     priority rank;
     unsigned max_servers = 1; ///< Maximum number of backend servers tried per request.
     std::vector<weighted_target> targets;
-    bool anonymous =
-        false; ///< Its requests need no key, whatever the configuration says.
+    bool anonymous = false; ///< Its requests need no key.
 };
 
 /// A customer whose clients share keys, a priority and a quota.
