Keep the retries of a service from the first update on

Cause: the rate kept for a service that turns requests away was noted only in updates in which it already did. Where the fraction passed the threshold within one update, the rate was 0 and only probes began for the whole window.

Change: retry_supply, a decision of its own without network, takes the mean of the window at the moment from which the retries are kept. The router loses its own bookkeeping.

--- a/src/gateway/request_router_shares.cpp
+++ b/src/gateway/request_router_shares.cpp
@@ -100,23 +100,16 @@
         for (const auto& [service, count] : demand.calls)
             requests_per_s[service] +=
                 count * demand.arrivals_per_s * shedder_.share(demand.request_class);
+    retry_supply_.record(requests_per_s, now);
     std::map<service_name, service_rejections> result;
     for (const auto& [service, share] : fleet.rejected_shares())
     {
-        auto& before = request_rates_[service];
         if (share >= min_kept_rejected_share)
             retry_budget_.keep_inflow(service, now);
-        const bool keeps = retry_budget_.keeps_inflow(service, now);
-        if (!keeps)
-            before.kept_per_s = before.meter.per_s(now);
-        result[service] = {share,
-                           retry_budget_.spendable_per_s(
-                               keeps ? before.kept_per_s : requests_per_s[service])};
+        const bool kept = retry_budget_.keeps_inflow(service, now);
+        const double counted_per_s = retry_supply_.counted_per_s(service, kept, now);
+        result[service] = {share, retry_budget_.spendable_per_s(counted_per_s)};
     }
-    const auto seconds = std::chrono::duration<double>(now - last_rates_update_).count();
-    last_rates_update_ = now;
-    for (const auto& [service, per_s] : requests_per_s)
-        request_rates_[service].meter.add(per_s * std::min(seconds, 1.0), now);
     return result;
 }
 
--- a/src/include/fescueridge/gateway/request_router.hpp
+++ b/src/include/fescueridge/gateway/request_router.hpp
@@ -16,6 +16,7 @@
 #include "fescueridge/gateway/peers.hpp"
 #include "fescueridge/gateway/placement.hpp"
 #include "fescueridge/gateway/quota_gate.hpp"
+#include "fescueridge/gateway/retry_supply.hpp"
 #include "fescueridge/gateway/run_executor.hpp"
 #include "fescueridge/transport/http_server.hpp"
 
@@ -190,13 +191,7 @@
         double per_s = 0;
     };
     std::map<admission_class, arrival_meter> arrivals_;
-    struct request_rate
-    {
-        window_counter meter;
-        double kept_per_s = 0; ///< Before the service began to turn requests away.
-    };
-    std::map<service_name, request_rate> request_rates_; ///< Of all nodes.
-    time_point last_rates_update_{};
+    retry_supply retry_supply_;
     client_retry_detector client_retries_;
     time_point last_update_{};
     time_point last_shares_log_{};
