Drop the state of quotas that have ended

Change: they are dropped with the quota; waiting requests begin.

Measured: ends_with_the_quota fails without the change (no decision is made) and passes; the other tests of quota_exchange pass.

--- a/src/gateway/quota_gate.cpp
+++ b/src/gateway/quota_gate.cpp
@@ -27,6 +27,7 @@
 void quota_gate::set_limits(std::map<quota_name, quota_limit> limits)
 {
     exchange_.set_limits(std::move(limits), clock::now());
+    send_and_decide();
 }
 
 quota_decision quota_gate::admit(const quota_name& quota, quota_waiter waiter)
--- a/src/include/fescueridge/overload/quota_exchange.hpp
+++ b/src/include/fescueridge/overload/quota_exchange.hpp
@@ -206,6 +206,7 @@
                              time_point now);
     void decide(const quota_name& quota, quota_waiter waiter, quota_decision decision);
     void create_parts(time_point now);
+    void drop_ended_quotas();
 
     quota_member self_;
     double slack_;
--- a/src/overload/quota_exchange.cpp
+++ b/src/overload/quota_exchange.cpp
@@ -152,9 +152,27 @@
     if (limits == limits_)
         return;
     limits_ = std::move(limits);
+    drop_ended_quotas();
     create_parts(now);
 }
 
+// Requests that wait for a quota without a limit may begin.
+void quota_exchange::drop_ended_quotas()
+{
+    for (auto it = accounts_.begin(); it != accounts_.end();)
+    {
+        if (limits_.count(it->first) != 0)
+        {
+            ++it;
+            continue;
+        }
+        for (const auto& request : it->second.waiting)
+            decide(it->first, request.waiter, quota_admitted{});
+        counters_.erase(it->first);
+        it = accounts_.erase(it);
+    }
+}
+
 // A part that this node keeps goes on with its tokens; a new one starts empty, because
 // the earlier home may just have spent its own.
 void quota_exchange::create_parts(time_point now)
--- a/src/overload/quota_exchange_test.cpp
+++ b/src/overload/quota_exchange_test.cpp
@@ -418,3 +418,23 @@
     cr_expect(std::holds_alternative<quota_admitted>(
         quotas.admit(tenant, quota_waiter(5), at(3'500))));
 }
+
+// Requests must not wait for a quota that the operators have taken away, nor may its
+// state stay for ever.
+Test(quota_exchange, ends_with_the_quota)
+{
+    const quota_member self{node_id("a"), domain_name("x")};
+    const quota_member other{node_id("b"), domain_name("x")};
+    quota_exchange quotas(self, 0, [](const node_id&) { return true; });
+    quotas.set_limits({{tenant, limit_of(20, 20)}}, at(0));
+    quotas.set_members({self, other}, at(0));
+    cr_expect(std::holds_alternative<quota_waiting>(
+        quotas.admit(tenant, quota_waiter(1), at(500))));
+    quotas.set_limits({}, at(520));
+    const auto decided = quotas.take_outputs().decided;
+    cr_assert_eq(decided.size(), 1U);
+    cr_expect(std::holds_alternative<quota_admitted>(decided[0].decision));
+    cr_expect(quotas.counters().empty());
+    cr_expect(std::holds_alternative<quota_admitted>(
+        quotas.admit(tenant, quota_waiter(2), at(530))));
+}
