Let a peer begin to take its answer before it counts as stalled

Cause: the time without progress ran on while the server worked on a request. A peer whose answer came after 200 ms counted as stalled before it could read a byte, and could lose its connection to others that needed room.

Change: the beginning of an answer counts as progress. Where the window is one turn of the event loop no steady test shows it; none is claimed.

--- a/src/include/fescueridge/transport/http_server.hpp
+++ b/src/include/fescueridge/transport/http_server.hpp
@@ -94,7 +94,7 @@
     std::shared_ptr<byte_account> account;
 
     /// Most open connections; 0 for no limit. Beyond it the connection that has been idle
-    /// longest is closed, or the new one if none is idle.
+    /// longest is closed, else one whose peer makes no progress, else the new one.
     std::size_t max_connections = 0;
 
     /// Called on an io thread for each fault; may be empty.
--- a/src/transport/server_connection.cpp
+++ b/src/transport/server_connection.cpp
@@ -286,6 +286,7 @@
     const bool keep_alive = answer.keep_alive && (!last_request_ || more_follow);
     out_ = write_response(*answer.response, keep_alive, !answer.head);
     std::string().swap(answer.response->body);
+    made_progress(); // The peer could not read before.
     update_held();
     pending_.front()->keep_alive = keep_alive;
     written_bytes_ = 0;
