--- a/src/codec/gateway_codec.cpp
+++ b/src/codec/gateway_codec.cpp
@@ -380,4 +380,20 @@
     return m;
 }
 
+void append_fields(json& out, const departed_start_message& m)
+{
+    append(out, to_binary(m.node.get()), to_binary(m.id.get()), m.until_ms,
+           m.recorded_ms);
+}
+
+departed_start_message read_departed_start(field_reader& in)
+{
+    departed_start_message m;
+    m.node = node_id(in.text());
+    m.id = instance_id(in.text());
+    m.until_ms = in.number<std::int64_t>();
+    m.recorded_ms = in.number<std::int64_t>();
+    return m;
+}
+
 } // namespace fescueridge::detail
--- a/src/codec/gateway_codec.hpp
+++ b/src/codec/gateway_codec.hpp
@@ -17,6 +17,7 @@
 void append_fields(json& out, const own_server_message& m);
 void append_fields(json& out, const quota_ask_message& m);
 void append_fields(json& out, const quota_grant_message& m);
+void append_fields(json& out, const departed_start_message& m);
 
 forward_message read_forward(field_reader& in);
 forward_reply_message read_forward_reply(field_reader& in);
@@ -30,5 +31,6 @@
 own_server_message read_own_server(field_reader& in);
 quota_ask_message read_quota_ask(field_reader& in);
 quota_grant_message read_quota_grant(field_reader& in);
+departed_start_message read_departed_start(field_reader& in);
 
 } // namespace fescueridge::detail
--- a/src/codec/gateway_codec_test.cpp
+++ b/src/codec/gateway_codec_test.cpp
@@ -111,6 +111,12 @@
     cr_expect_str_eq(own.server.id.get().c_str(), "i-1");
     cr_assert(own.max_rate.has_value());
     cr_expect_float_eq(own.max_rate->get(), 12.5, 1e-9);
+    const auto departed = round_trip(departed_start_message{
+        node.node, instance_id("i-1"), 1'700'000'000'001, 1'700'000'000'002});
+    cr_expect_str_eq(departed.node.get().c_str(), "vm-1");
+    cr_expect_str_eq(departed.id.get().c_str(), "i-1");
+    cr_expect_eq(departed.until_ms, 1'700'000'000'001);
+    cr_expect_eq(departed.recorded_ms, 1'700'000'000'002);
     cr_expect_eq(round_trip(forward_cancel_message{42}).number, 42U);
     cr_expect_eq(round_trip(forward_recall_message{43}).number, 43U);
 }
--- a/src/codec/messages.cpp
+++ b/src/codec/messages.cpp
@@ -44,7 +44,8 @@
     own_server,
     forward_recall,
     quota_ask,
-    quota_grant
+    quota_grant,
+    departed_start
 };
 
 json levels_to_array(const std::vector<admission_level>& levels)
@@ -109,6 +110,10 @@
 {
     return frame_type::quota_grant;
 }
+frame_type gateway_frame_type(const departed_start_message&)
+{
+    return frame_type::departed_start;
+}
 
 /// Appends the type and the fields of a message to a frame.
 struct encoder
@@ -406,6 +411,8 @@
         return read_quota_ask(in);
     case frame_type::quota_grant:
         return read_quota_grant(in);
+    case frame_type::departed_start:
+        return read_departed_start(in);
     default:
         return read_control_message(type, in);
     }
--- a/src/gateway/decision_log.cpp
+++ b/src/gateway/decision_log.cpp
@@ -56,6 +56,8 @@
         return "log_restored";
     case log_event::log_append_failed:
         return "log_append_failed";
+    case log_event::departures_not_stored:
+        return "departures_not_stored";
     case log_event::records_unreadable:
         return "records_unreadable";
     case log_event::peer_connected:
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -18,6 +18,9 @@
 /// of all nodes.
 constexpr milliseconds store_interval{5'000};
 
+/// Announcements that are not acknowledged within a second are repeated.
+constexpr milliseconds max_acknowledgement_delay{900};
+
 /// Maximum number of concurrent requests on one client connection.
 constexpr std::size_t max_pipelined_requests = 16;
 
@@ -27,15 +30,20 @@
                          const wire_format& wire, keyed_log& log)
     : io_(io), settings_(std::move(settings)), service_(settings_.service), wire_(wire),
       log_(log), events_(settings_.node, incarnation(random_seed())),
-      decisions_(io, settings_.node), executor_(io, settings_, wire, decisions_,
-                                                {[this] { schedule_report(); },
-                                                 [this](const suspect_message& suspect)
-                                                 {
-                                                     peers_.broadcast(suspect);
-                                                 }}),
+      decisions_(io, settings_.node),
+      executor_(io, settings_, wire, decisions_,
+                {[this] { schedule_report(); },
+                 [this](const suspect_message& suspect) { peers_.broadcast(suspect); },
+                 [this](const departed_start& departure)
+                 {
+                     departures_.store(departure);
+                 }}),
       peers_(io, settings_, events_, decisions_, make_peer_callbacks()),
       router_(io, settings_, wire, decisions_, peers_, executor_),
       records_(io, settings_, log, decisions_, peers_.self(), make_cluster_callbacks()),
+      departures_(settings_, log, decisions_,
+                  [this](const std::vector<departed_start>& stored)
+                  { executor_.on_stored_departures(stored); }),
       client_bytes_(std::make_shared<byte_account>(settings_.process.client_bytes())),
       stop_schedule_(stop_schedule::for_grace(settings_.bounds.grace))
 {
@@ -69,7 +77,7 @@
         io, settings_.listen_announcements,
         [this](const http_request& request,
                const std::shared_ptr<http_exchange>& exchange)
-        { handle_announcement(request, *exchange); },
+        { handle_announcement(request, exchange); },
         control_server_options());
     peers_.start();
     start_following();
@@ -77,6 +85,7 @@
               [this]
               {
                   executor_.poll();
+                  departures_.poll(clock::now());
                   router_.quotas().poll(records_.nodes_listed());
                   check_stop();
               });
@@ -162,6 +171,7 @@
     log_.on_restored([this] { on_log_restored(); });
     config_follower_->start();
     records_.start();
+    departures_.start();
 }
 
 // The configuration in force stays: versions that are not newer are ignored.
@@ -172,6 +182,7 @@
     decisions_.record(log_event::log_restored);
     config_follower_->restart();
     records_.on_log_restored();
+    departures_.on_log_restored();
 }
 
 // Ignores versions that are not newer than the current one, such as those from a slower
@@ -253,7 +264,8 @@
              {{"Content-Type", "text/plain; version=0.0.4"}},
              metrics_text(router_, executor_, peers_, decisions_, table_.get(),
                           log_status{config_follower_->unconfirmed_for(),
-                                     config_follower_->skipped() + records_.skipped()},
+                                     config_follower_->skipped() + records_.skipped(),
+                                     departures_.waiting()},
                           client_status{client_bytes_->used(), client_bytes_->peak(),
                                         request_server_->open_connections(),
                                         client_faults_})});
@@ -263,22 +275,42 @@
                       ready ? "ready\n" : "not ready\n"});
 }
 
-void gateway_node::impl::handle_announcement(const http_request& request,
-                                             http_exchange& exchange)
+void gateway_node::impl::handle_announcement(
+    const http_request& request, const std::shared_ptr<http_exchange>& exchange)
 {
     try
     {
-        const auto change = executor_.on_announcement(wire_.read_announcement(request));
+        const auto announcement = wire_.read_announcement(request);
+        const auto change = executor_.on_announcement(announcement);
         if (change == server_change::foreign)
-            return reject_announcement("names another service", exchange);
-        exchange.respond(wire_.make_acknowledgement());
+            return reject_announcement("names another service", *exchange);
+        if (states_leaving(announcement))
+            return acknowledge_departure(exchange);
+        exchange->respond(wire_.make_acknowledgement());
     }
     catch (const codec_error& error)
     {
-        reject_announcement(error.what(), exchange);
+        reject_announcement(error.what(), *exchange);
     }
 }
 
+// An acknowledged departure binds whatever becomes of the processes, so it is stored
+// first. The server repeats an announcement that is not acknowledged.
+void gateway_node::impl::acknowledge_departure(
+    const std::shared_ptr<http_exchange>& exchange)
+{
+    departures_.when_stored(
+        max_acknowledgement_delay,
+        [this, exchange](bool stored)
+        {
+            constexpr int unavailable = 503;
+            exchange->respond(stored ? wire_.make_acknowledgement()
+                                     : http_response{unavailable,
+                                                     {{"Content-Type", "text/plain"}},
+                                                     "departure not stored\n"});
+        });
+}
+
 void gateway_node::impl::reject_announcement(const std::string& detail,
                                              http_exchange& exchange)
 {
--- a/src/gateway/gateway_node_impl.hpp
+++ b/src/gateway/gateway_node_impl.hpp
@@ -6,6 +6,7 @@
 #include <asio/steady_timer.hpp>
 
 #include "fescueridge/gateway/cluster_records.hpp"
+#include "fescueridge/gateway/departure_records.hpp"
 #include "fescueridge/gateway/report_schedule.hpp"
 #include "fescueridge/gateway/request_router.hpp"
 #include "fescueridge/gateway/stop_schedule.hpp"
@@ -42,7 +43,9 @@
     void store_call_edges();
 
     void handle_readiness(const http_request& request, http_exchange& exchange);
-    void handle_announcement(const http_request& request, http_exchange& exchange);
+    void handle_announcement(const http_request& request,
+                             const std::shared_ptr<http_exchange>& exchange);
+    void acknowledge_departure(const std::shared_ptr<http_exchange>& exchange);
     void reject_announcement(const std::string& detail, http_exchange& exchange);
 
     void on_forward(const link_ptr& from, forward_message message);
@@ -69,6 +72,7 @@
     peers peers_;
     request_router router_;
     cluster_records records_;
+    departure_records departures_;
     std::shared_ptr<byte_account> client_bytes_;
     std::map<http_fault_kind, std::uint64_t> client_faults_;
     std::unique_ptr<http_server> request_server_;
--- a/src/gateway/metrics_text.cpp
+++ b/src/gateway/metrics_text.cpp
@@ -138,6 +138,7 @@
     out.add("config_version", "", table ? table->config().version.get() : 0);
     out.add("config_unconfirmed_seconds", "", in_seconds(log.config_unconfirmed_for));
     out.add("records_skipped_total", "", log.records_skipped);
+    out.add("departures_waiting", "", log.departures_waiting);
     out.add("log_lines_left_out_total", "", decisions.dropped_lines());
     return out.take();
 }
--- a/src/gateway/metrics_text.hpp
+++ b/src/gateway/metrics_text.hpp
@@ -12,6 +12,7 @@
 {
     milliseconds config_unconfirmed_for{0}; ///< Time since the last confirmation.
     std::uint64_t records_skipped = 0;      ///< Unreadable records of all topics.
+    std::size_t departures_waiting = 0;     ///< Not stored yet.
 };
 
 /// What a node holds for its clients, and what it did not accept from them.
--- a/src/gateway/run_executor_server.cpp
+++ b/src/gateway/run_executor_server.cpp
@@ -62,6 +62,11 @@
     select_server();
 }
 
+void run_executor::on_stored_departures(const std::vector<departed_start>& departures)
+{
+    handle_server_change(tracker_.on_stored_departures(departures), "log");
+}
+
 void run_executor::select_server()
 {
     if (tracker_.server() && rate_.select(*tracker_.server(), clock::now()))
@@ -107,6 +112,8 @@
 
 void run_executor::handle_server_change(server_change change, const std::string& cause)
 {
+    for (const auto& departure : tracker_.take_departures())
+        callbacks_.on_departure(departure);
     if (change == server_change::none)
         return;
     const auto& server = tracker_.server();
--- a/src/gateway/server_tracker.cpp
+++ b/src/gateway/server_tracker.cpp
@@ -12,11 +12,6 @@
 /// More than the starts of one VM whose last heartbeats may still be on their way.
 constexpr std::size_t max_remembered_departures = 16;
 
-bool is_leaving(server_state state)
-{
-    return state == server_state::draining || state == server_state::gone;
-}
-
 } // namespace
 
 std::string_view to_string(server_change value) noexcept
@@ -67,7 +62,7 @@
     last_seen_ = now;
     suspected_ = false;
     if (is_leaving(server.state))
-        return server_change::leaving;
+        return leave(server.state, server.born_ms);
     return new_start ? server_change::started : server_change::ready;
 }
 
@@ -77,14 +72,23 @@
     return found != left_until_.end() && born_ms <= found->second;
 }
 
-void server_tracker::note_left(const instance_id& id, std::int64_t until_ms)
+/// Returns whether the departure was not known yet.
+bool server_tracker::add_departure(const instance_id& id, std::int64_t until_ms)
 {
+    if (has_left(id, until_ms))
+        return false;
     if (left_until_.size() >= max_remembered_departures && left_until_.count(id) == 0)
         left_until_.erase(std::min_element(left_until_.begin(), left_until_.end(),
                                            [](const auto& a, const auto& b)
                                            { return a.second < b.second; }));
-    auto& until = left_until_[id];
-    until = std::max(until, until_ms);
+    left_until_[id] = until_ms;
+    return true;
+}
+
+void server_tracker::note_left(const instance_id& id, std::int64_t until_ms)
+{
+    if (add_departure(id, until_ms))
+        new_departures_.push_back({id, until_ms});
 }
 
 /// Returns whether the server with this id has left and its start is unknown. A restarted
@@ -107,32 +111,40 @@
     const server_record& announced = heartbeat.server;
     if (announced.service != service_)
         return server_change::foreign;
+    const bool had_left = has_left(announced.id, announced.born_ms);
+    if (is_leaving(announced.state))
+        note_left(announced.id, announced.born_ms);
     if (announced.born_ms < latest_born_ms_)
         return server_change::stale;
-    if (has_left(announced.id, announced.born_ms))
-    {
-        if (left_with_unknown_start(announced.id))
-            set_start(announced.born_ms);
-        return server_change::stale;
-    }
     const bool same_start =
         server_ && server_->id == announced.id && server_->born_ms == announced.born_ms;
-    if (!same_start)
+    if (same_start)
+        return on_next_heartbeat(announced, now);
+    if (!had_left)
         return start_tracking(announced, now);
-    if (announced.sequence <= server_->sequence)
-        return server_change::stale;
-    // A start that has left does not become active again.
-    if (server_->state == server_state::gone)
-        return server_change::stale;
+    if (left_with_unknown_start(announced.id))
+        set_start(announced.born_ms);
+    return server_change::stale;
+}
+
+/// Processes a heartbeat of the tracked start. A start that has begun to leave does not
+/// become active again.
+server_change server_tracker::on_next_heartbeat(const server_record& announced,
+                                                time_point now)
+{
     const bool was_leaving = is_leaving(server_->state);
+    const bool leaves = !was_leaving && is_leaving(announced.state);
+    const bool is_newer = announced.sequence > server_->sequence;
+    if (server_->state == server_state::gone || (!is_newer && !leaves))
+        return server_change::stale;
     const bool was_suspected = suspected_;
     const auto state = was_leaving ? server_state::draining : announced.state;
     server_ = announced;
     server_->state = state;
     last_seen_ = now;
     suspected_ = false;
-    if (!was_leaving && is_leaving(state))
-        return server_change::leaving;
+    if (leaves)
+        return leave(state, announced.born_ms);
     return was_suspected ? server_change::recovered : server_change::none;
 }
 
@@ -178,10 +190,7 @@
 /// heartbeats may still be on their way and are the first that tell its time.
 server_change server_tracker::leave(server_state state, std::int64_t wall_ms)
 {
-    if (server_->born_ms == 0)
-        note_left(server_->id, wall_ms);
-    else if (state == server_state::gone)
-        note_left(server_->id, server_->born_ms);
+    note_left(server_->id, server_->born_ms != 0 ? server_->born_ms : wall_ms);
     server_->state = state;
     return server_change::leaving;
 }
@@ -206,7 +215,7 @@
         server_ && server_->id == server.id && server_->born_ms <= server.born_ms;
     if (server_ && (!same_start || is_leaving(server_->state)))
     {
-        if (server.state == server_state::gone && server.born_ms != 0)
+        if (server.born_ms != 0)
             note_left(server.id, server.born_ms);
         return server_change::none;
     }
@@ -215,6 +224,18 @@
     return leave(server.state, wall_ms);
 }
 
+server_change
+server_tracker::on_stored_departures(const std::vector<departed_start>& departures)
+{
+    for (const auto& departure : departures)
+        add_departure(departure.id, departure.until_ms);
+    if (!server_ || is_leaving(server_->state) ||
+        !has_left(server_->id, server_->born_ms))
+        return server_change::none;
+    server_->state = server_state::draining;
+    return server_change::leaving;
+}
+
 server_change server_tracker::on_no_answer()
 {
     if (!server_ || suspected_ || is_leaving(server_->state))
--- a/src/gateway/server_tracker_test.cpp
+++ b/src/gateway/server_tracker_test.cpp
@@ -68,6 +68,11 @@
     tracker.on_heartbeat(make_heartbeat("a", 10, 1), start);
     cr_expect(tracker.on_leaving_notice(wall_ms) == server_change::leaving);
     cr_expect(tracker.on_leaving_notice(wall_ms) == server_change::none);
+    server_tracker overtaken(tills, heartbeat_interval);
+    overtaken.on_heartbeat(make_heartbeat("a", 10, 2), start);
+    cr_expect(overtaken.on_heartbeat(make_heartbeat("a", 10, 1, server_state::draining),
+                                     start) == server_change::leaving);
+    cr_expect(!overtaken.accepts());
     tracker.on_heartbeat(make_heartbeat("a", 10, 2), start);
     cr_expect(!tracker.accepts());
     tracker.on_heartbeat(make_heartbeat("b", 20, 1), start);
--- a/src/gateway/wire_format.cpp
+++ b/src/gateway/wire_format.cpp
@@ -1,10 +1,22 @@
 #include "fescueridge/gateway/wire_format.hpp"
 
+#include "fescueridge/base/overloaded.hpp"
 #include "fescueridge/gateway/keyed_log.hpp"
 
 namespace fescueridge::gateway
 {
 
+bool states_leaving(const server_announcement& announcement)
+{
+    return std::visit(overloaded{[](const server_heartbeat& heartbeat)
+                                 { return is_leaving(heartbeat.server.state); },
+                                 [](const server_departure&)
+                                 {
+                                     return true;
+                                 }},
+                      announcement);
+}
+
 std::string_view to_string(rejection value) noexcept
 {
     switch (value)
--- a/src/include/fescueridge/base/server_state.hpp
+++ b/src/include/fescueridge/base/server_state.hpp
@@ -15,6 +15,12 @@
     gone      ///< No backend server is announced at this node.
 };
 
+/// Returns whether a server in this state receives no further calls.
+constexpr bool is_leaving(server_state state) noexcept
+{
+    return state == server_state::draining || state == server_state::gone;
+}
+
 /// Returns the protocol name, for example "draining".
 std::string_view to_string(server_state value) noexcept;
 
--- a/src/include/fescueridge/codec/gateway_messages.hpp
+++ b/src/include/fescueridge/codec/gateway_messages.hpp
@@ -198,6 +198,16 @@
     std::optional<call_rate> max_rate; ///< Requests a second that the server accepts.
 };
 
+/// Departure of a backend server, as stored in the log: the starts under this id up to
+/// `until_ms`, the wall-clock time of the last of them, have left.
+struct departed_start_message
+{
+    node_id node; ///< The node beside the server.
+    instance_id id;
+    std::int64_t until_ms = 0;
+    std::int64_t recorded_ms = 0; ///< Wall-clock time at which the record was written.
+};
+
 /// Asks a home of a quota for tokens.
 struct quota_ask_message
 {
--- a/src/include/fescueridge/codec/messages.hpp
+++ b/src/include/fescueridge/codec/messages.hpp
@@ -162,7 +162,7 @@
                  forward_cancel_message, node_report_message, config_pull_message,
                  config_push_message, known_nodes_message, suspect_message,
                  own_server_message, forward_recall_message, quota_ask_message,
-                 quota_grant_message, unknown_message>;
+                 quota_grant_message, departed_start_message, unknown_message>;
 
 /// A message with the Lamport stamp of its sender.
 struct link_frame
--- a/src/include/fescueridge/gateway/decision_log.hpp
+++ b/src/include/fescueridge/gateway/decision_log.hpp
@@ -26,6 +26,7 @@
     log_regained,
     log_restored,
     log_append_failed,
+    departures_not_stored,
     records_unreadable,
     peer_connected,
     peer_lost,
--- a/src/include/fescueridge/gateway/run_executor.hpp
+++ b/src/include/fescueridge/gateway/run_executor.hpp
@@ -26,6 +26,8 @@
     /// The server, its state or its limit has changed and must be reported to the peers.
     std::function<void()> on_server_changed;
     std::function<void(const suspect_message&)> on_suspect;
+    /// A start of the server has left, which must be stored before it is acknowledged.
+    std::function<void(const departed_start&)> on_departure;
 };
 
 /// Counts of outcomes of requests for the server beside this node.
@@ -70,6 +72,9 @@
     /// Processes an announcement of the server.
     server_change on_announcement(const server_announcement& announcement);
     void on_server_record_from_peer(const own_server_message& own);
+
+    /// Processes the departures that earlier processes of this node stored in the log.
+    void on_stored_departures(const std::vector<departed_start>& departures);
     void on_suspect(const suspect_message& suspect)
     {
         suspects_.on_suspect(suspect, clock::now());
--- a/src/include/fescueridge/gateway/server_tracker.hpp
+++ b/src/include/fescueridge/gateway/server_tracker.hpp
@@ -2,6 +2,9 @@
 
 #include <map>
 #include <optional>
+#include <tuple>
+#include <utility>
+#include <vector>
 
 #include "fescueridge/base/clock.hpp"
 #include "fescueridge/codec/gateway_messages.hpp"
@@ -26,6 +29,18 @@
 /// Returns the name of a change in log lines; stable across versions.
 std::string_view to_string(server_change value) noexcept;
 
+/// Starts of a server that have begun to leave, for good.
+struct departed_start
+{
+    instance_id id;
+    std::int64_t until_ms = 0; ///< Wall-clock time of the last start that has left.
+
+    friend bool operator<(const departed_start& a, const departed_start& b)
+    {
+        return std::tie(a.id, a.until_ms) < std::tie(b.id, b.until_ms);
+    }
+};
+
 /// Tracks the state of the backend server beside this node from its announcements.
 /// Delayed announcements of an earlier start or state do not reactivate it.
 class server_tracker
@@ -55,6 +70,16 @@
     server_change on_server_record_from_peer(const server_record& server,
                                              std::int64_t wall_ms);
 
+    /// Processes the departures that earlier processes of this node stored in the log.
+    server_change on_stored_departures(const std::vector<departed_start>& departures);
+
+    /// Returns the departures that became known since the last call, except those from
+    /// on_stored_departures(). They must be stored before they are acknowledged.
+    std::vector<departed_start> take_departures()
+    {
+        return std::exchange(new_departures_, {});
+    }
+
     /// Records that the server does not answer or does not accept connections.
     server_change on_no_answer();
 
@@ -81,11 +106,13 @@
     const std::optional<server_record>& server() const noexcept { return server_; }
 
 private:
+    server_change on_next_heartbeat(const server_record& announced, time_point now);
     server_change start_tracking(const server_record& server, time_point now);
     server_change leave(server_state state, std::int64_t wall_ms);
     bool left_with_unknown_start(const instance_id& id) const;
     bool is_later_start(const instance_id& id, std::int64_t born_ms) const;
     bool has_left(const instance_id& id, std::int64_t born_ms) const;
+    bool add_departure(const instance_id& id, std::int64_t until_ms);
     void note_left(const instance_id& id, std::int64_t until_ms);
     void set_start(std::int64_t born_ms);
 
@@ -96,6 +123,7 @@
     /// For each id, the wall-clock time up to which its starts have left. Kept apart from
     /// the tracked server: a departure binds whatever is known when it arrives.
     std::map<instance_id, std::int64_t> left_until_;
+    std::vector<departed_start> new_departures_;
     time_point last_seen_{};
     bool suspected_ = false;
 };
--- a/src/include/fescueridge/gateway/settings.hpp
+++ b/src/include/fescueridge/gateway/settings.hpp
@@ -62,7 +62,8 @@
     topic_name config_topic;
     std::string config_key;
     topic_name nodes_topic;
-    topic_name learned_topic; ///< Topic of the estimated calls between routes.
+    topic_name learned_topic;    ///< Topic of the estimated calls between routes.
+    topic_name departures_topic; ///< Topic of the servers that have left.
 };
 
 inline std::size_t process_limits::client_connections() const noexcept
--- a/src/include/fescueridge/gateway/wire_format.hpp
+++ b/src/include/fescueridge/gateway/wire_format.hpp
@@ -82,6 +82,9 @@
 
 using server_announcement = std::variant<server_heartbeat, server_departure>;
 
+/// Returns whether the server states that it leaves.
+bool states_leaving(const server_announcement& announcement);
+
 /// Interface to the formats used by clients, backend servers and operators: field names,
 /// status codes and encodings. Implementations only translate; they make no decisions.
 class wire_format
