Keep a start out that has announced its leaving (the product's own daemon)

Cause: server_monitor noted a drain of the operators for the start of the server, but not one that the server announced itself.

Change: both are noted; a later start is not affected.

Measured: keeps_a_start_out_that_announced_its_leaving failed before and passes now, as do the other tests of node_test.

--- a/src/include/fescueridge/node/server_monitor.hpp
+++ b/src/include/fescueridge/node/server_monitor.hpp
@@ -26,7 +26,8 @@
                        update_member_record);
 
     /// Handles an announcement of the server, which is also its heartbeat. A later start
-    /// has a higher incarnation; a delayed announcement of an earlier one is ignored.
+    /// has a higher incarnation; a delayed announcement of an earlier one is ignored. A
+    /// start that has announced `draining` or `gone` does not become ready again.
     void announce(const server_announcement& server);
 
     /// Puts the server in state `draining`; running calls are completed. The state ends
--- a/src/node/server_monitor.cpp
+++ b/src/node/server_monitor.cpp
@@ -1,5 +1,7 @@
 #include "fescueridge/node/server_monitor.hpp"
 
+#include <algorithm>
+
 namespace fescueridge
 {
 
@@ -21,12 +23,14 @@
         {
             return;
         }
-        if (drain_next_start_)
+        if (drain_next_start_ || is_leaving(server.state))
         {
             drain_next_start_ = false;
-            drained_start_ = server.incarnation_number;
+            drained_start_ = std::max(drained_start_.value_or(server.incarnation_number),
+                                      server.incarnation_number);
         }
-        if (drained_start_ && server.incarnation_number <= *drained_start_)
+        if (drained_start_ && server.incarnation_number <= *drained_start_ &&
+            !is_leaving(server.state))
         {
             current.state = server_state::draining;
         }
--- a/src/node/server_monitor_test.cpp
+++ b/src/node/server_monitor_test.cpp
@@ -61,6 +61,19 @@
     cr_expect(node.published.state == server_state::ready);
 }
 
+// Guards against a delayed announcement that ends the leaving of a start which has
+// announced it.
+Test(server_monitor, keeps_a_start_out_that_announced_its_leaving)
+{
+    monitor_fixture node;
+    node.announce(7);
+    node.announce(7, server_state::draining);
+    node.announce(7);
+    cr_expect(node.published.state == server_state::draining);
+    node.announce(8);
+    cr_expect(node.published.state == server_state::ready);
+}
+
 // Guards against a late announcement that replaces a later start.
 Test(server_monitor, ignores_an_earlier_start_while_a_later_one_lives)
 {
