--- a/src/gateway/gateway_node_stop.cpp
+++ b/src/gateway/gateway_node_stop.cpp
@@ -25,7 +25,7 @@
         return;
     const auto passed = clock::now() - *stopping_since_;
     if (passed >= stop_schedule_.reject_clients)
-        router_.reject_clients();
+        router_.reject_clients(*stopping_since_ + stop_schedule_.answer_all);
     if (passed >= stop_schedule_.recall_waiting)
         router_.recall_waiting();
     if (passed >= stop_schedule_.answer_all)
--- a/src/gateway/request_router.cpp
+++ b/src/gateway/request_router.cpp
@@ -95,12 +95,19 @@
     remove_hop_headers(message.headers, [this](std::string_view name)
                        { return wire_.is_end_to_end(name); });
     wire_.remove_reserved_fields(message.headers);
-    if (rejecting_clients_ && !message.from_server)
+    if (!may_begin(*request))
         return reject(request, rejection::stopping);
     watch(request, time);
     take_quota(request);
 }
 
+bool request_router::may_begin(const request_state& request) const
+{
+    return !answers_end_ ||
+           (request.message.from_server &&
+            request.answer_deadline + late_answer_tolerance < *answers_end_);
+}
+
 // Follows the client and the time limit of a request from now on.
 void request_router::watch(const request_ptr& request, milliseconds time)
 {
--- a/src/include/fescueridge/gateway/request_router.hpp
+++ b/src/include/fescueridge/gateway/request_router.hpp
@@ -3,6 +3,7 @@
 #include <asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -77,8 +78,9 @@
     }
 
     /// Rejects requests of clients from now on, because the process may end before they
-    /// complete. Calls of running requests are still admitted.
-    void reject_clients() { rejecting_clients_ = true; }
+    /// complete. A call of a running request is still admitted if its time is over before
+    /// `answers_end`, when answer_all() is called: what was begun is not broken off.
+    void reject_clients(time_point answers_end) { answers_end_ = answers_end; }
 
     /// Takes back the requests that wait for a server and places none from now on: they
     /// end as not run. Requests at a server go on.
@@ -123,6 +125,7 @@
                                              const std::vector<client_key>& keys);
     priority rank_of(const request_state& request) const;
     bool is_server_call(const request_state& request) const;
+    bool may_begin(const request_state& request) const;
     void watch(const request_ptr& request, milliseconds time);
     void take_quota(const request_ptr& request);
     void on_quota_decided(quota_waiter waiter, const quota_decision& decision);
@@ -169,8 +172,8 @@
     peers& peers_;
     run_executor& executor_;
     service_name caller_;
-    bool rejecting_clients_ = false;
-    bool placing_ = true; ///< False from recall_waiting() on.
+    std::optional<time_point> answers_end_; ///< Set by reject_clients().
+    bool placing_ = true;                   ///< False from recall_waiting() on.
     std::shared_ptr<const route_table> table_;
     std::unordered_map<route_name, weighted_round_robin> target_pickers_;
     std::unordered_map<std::uint64_t, request_ptr> requests_;
