Wait for the runs of peers at the end of a stop

Cause: the end waited for the answers to own clients only.

Change: it waits for runs that peers asked for as well, until the end of the schedule, 0.5 s before the kill.

Measured (x86-64): requests_of_peers in platform/testsuite/stops fails on (12 of 12 requests got 502, in 2 of 2 runs) and passes now.

--- a/src/gateway/gateway_node_stop.cpp
+++ b/src/gateway/gateway_node_stop.cpp
@@ -33,8 +33,9 @@
     const bool answers_written = request_server_->open_exchanges() == 0;
     const bool idle =
         answers_written && router_.open_requests() == 0 && executor_.open_runs() == 0;
+    const bool nobody_waits = answers_written && remote_runs_.empty();
     const bool out_of_time =
-        passed >= (answers_written ? stop_schedule_.answer_all : stop_schedule_.end);
+        passed >= (nobody_waits ? stop_schedule_.answer_all : stop_schedule_.end);
     if (out_of_time || (idle && passed >= stop_schedule_.reject_clients))
         finish_stop();
 }
