Complete an answer without length only once its request is written

Cause: the kernel reports the reset once. The write of the upload gets it, and the read after it sees an orderly end, which ends such an answer.

Change: such an end completes the answer only when the request has been written; if the write fails, the request fails as cut.

--- a/src/transport/client_connection.cpp
+++ b/src/transport/client_connection.cpp
@@ -201,12 +201,17 @@
     owner_->buffered(std::exchange(buffered_bytes_, 0), 0);
 }
 
+// A reset can look like an orderly end, as the kernel reports its error only once, and the
+// write may get it. So the end completes an answer only once the request is written.
 void client_connection::on_end()
 {
     const bool whole = parser_.finish() == parse_status::complete;
-    if (whole && parser_.status_code() / 100 != 1)
-        return on_answer(false);
-    fail(http_failure_kind::cut, true, "closed before the answer was whole");
+    if (!whole || parser_.status_code() / 100 == 1)
+        return fail(http_failure_kind::cut, true, "closed before the answer was whole");
+    if (writing_)
+        end_after_write_ = true;
+    else
+        on_answer(false);
 }
 
 void client_connection::on_answer_bytes(const char* data, std::size_t size)
@@ -284,6 +289,8 @@
     if (ec)
         return fail(size == 0 ? http_failure_kind::not_sent : http_failure_kind::cut,
                     size != 0, ec.message());
+    if (end_after_write_)
+        return on_answer(false);
     if (!std::exchange(idle_after_write_, false))
         return;
     open_timer_.cancel();
--- a/src/transport/client_connection.hpp
+++ b/src/transport/client_connection.hpp
@@ -125,6 +125,7 @@
     std::size_t buffered_bytes_ = 0; ///< Reported to the owner.
     bool reading_ = false;
     bool idle_after_write_ = false;
+    bool end_after_write_ = false; ///< The answer has ended, with the peer's side.
     connection_use use_ = connection_use::first_request;
     bool connected_ = false;
     bool closed_ = false;
--- a/src/transport/http_client_pool_test.cpp
+++ b/src/transport/http_client_pool_test.cpp
@@ -230,6 +230,38 @@
     cr_expect_str_eq(body(std::move(second)).c_str(), "right");
 }
 
+// Guards against a part of an answer without length that is passed on as a whole one, as
+// the write of the request took the error of a reset connection. An orderly end before
+// the whole request was read is an end of the answer too.
+Test(http_client_pool, fails_answers_without_length_that_are_reset, .timeout = 60)
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\n\r\n" + std::string(5'000, 'x');
+    const http_request upload{"POST", "/", {}, std::string(std::size_t{12} << 20U, 'u')};
+    http_client_options options;
+    options.answers_until_end = true;
+    for (int i = 0; i < 30; ++i)
+    {
+        io_threads threads(1 + i % 2);
+        raw_listener listener;
+        http_client_pool pool(threads.io, listener.bound(), connection_count(1), options);
+        auto result = send(pool, upload);
+        raw_peer peer(listener.acceptor);
+        peer.read_until("\r\n\r\n");
+        peer.send(answer);
+        const bool orderly = i % 3 == 0;
+        if (orderly)
+            peer.finish_sending();
+        if (orderly)
+            peer.read_all();
+        else
+            peer.close();
+        if (orderly)
+            cr_expect_eq(body(std::move(result)).size(), 5'000U);
+        else
+            cr_expect(failure(std::move(result)).kind == http_failure_kind::cut);
+    }
+}
+
 // Guards against a request being lost on a connection that the server closed while idle.
 Test(http_client_pool, does_not_use_a_stale_connection)
 {
--- a/src/transport/test_support.hpp
+++ b/src/transport/test_support.hpp
@@ -111,6 +111,9 @@
         return socket_.read_some(asio::buffer(got), ec);
     }
 
+    /// Ends the own direction; the peer may go on sending.
+    void finish_sending() { socket_.shutdown(asio::ip::tcp::socket::shutdown_send); }
+
     void close() { socket_.close(); }
 
 private:
