--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -156,10 +156,11 @@
         if (other.record.link.port != 0)
             nodes.nodes.push_back(other.record);
     opened->send(nodes);
+    // A new process may open its first link while that of its predecessor is still held.
+    send_server_record(opened, known_peer);
     if (!first)
         return;
     decisions_.record(log_event::peer_connected, {{"peer", hello.node.get()}});
-    send_server_record(opened, known_peer);
     callbacks_.on_link_open(opened);
 }
 
