--- a/src/gateway/run_executor.cpp
+++ b/src/gateway/run_executor.cpp
@@ -369,6 +369,9 @@
             if (!*alive)
                 return;
             health_check_running_ = false;
+            if (const auto* failure = std::get_if<http_failure>(&result);
+                failure && failure->kind == http_failure_kind::connect_failed)
+                return on_connection_refused();
             const auto* answer = std::get_if<http_response>(&result);
             const auto id = answer ? wire_.healthy_instance(*answer) : std::nullopt;
             if (!id)
--- a/src/gateway/run_executor_answers.cpp
+++ b/src/gateway/run_executor_answers.cpp
@@ -70,7 +70,7 @@
     if (!failure.sent)
     {
         if (failure.kind == http_failure_kind::connect_failed)
-            handle_server_change(tracker_.on_no_answer(), "connection_refused");
+            on_connection_refused();
         if (runs_.count(number) == 0)
             return;
         log_run(log_event::run_failed, ended, "not_sent");
@@ -86,7 +86,11 @@
         return fail_run(number, forward_result::unknown, forward_failure::deadline, true);
     }
     if (failure.kind == http_failure_kind::cut)
+    {
         suspects_.on_connection_cut(request_fingerprint(ended.call), now);
+        if (now >= next_health_check_)
+            send_health_check();
+    }
     ++counters_.broken_off;
     log_run(log_event::run_failed, ended, "broken_off");
     fail_run(number, forward_result::unknown, forward_failure::server_broke_off, false);
--- a/src/gateway/run_executor_server.cpp
+++ b/src/gateway/run_executor_server.cpp
@@ -46,10 +46,24 @@
 {
     replace_pool();
     answered_ = false;
-    if (before.state != server_state::ready)
+    on_crash(before);
+}
+
+// A server that accepts no connections is down, whether or not it comes back.
+void run_executor::on_connection_refused()
+{
+    if (tracker_.server())
+        on_crash(*tracker_.server());
+    handle_server_change(tracker_.on_no_answer(), "connection_refused");
+}
+
+// A crash may be noticed twice; its number tells that it is the same one.
+void run_executor::on_crash(const server_record& crashed)
+{
+    if (crashed.state != server_state::ready)
         return;
     const auto crash =
-        stable_hash(before.id.get(), static_cast<std::uint64_t>(before.born_ms));
+        stable_hash(crashed.id.get(), static_cast<std::uint64_t>(crashed.born_ms));
     for (const auto& suspect : suspects_.on_crash(crash, clock::now()))
         callbacks_.on_suspect(suspect);
 }
--- a/src/include/fescueridge/gateway/run_executor.hpp
+++ b/src/include/fescueridge/gateway/run_executor.hpp
@@ -173,7 +173,9 @@
     void on_notice(const http_response& answer, time_point sent_at);
     void select_server();
     void apply_rate(const char* cause);
+    void on_connection_refused();
     void on_restart(const server_record& before);
+    void on_crash(const server_record& crashed);
     void log_run(log_event event, const run& entry, const char* outcome);
 
     asio::io_context& io_;
