--- a/src/gateway/crash_suspects.cpp
+++ b/src/gateway/crash_suspects.cpp
@@ -62,4 +62,17 @@
            found->second.crashes.size() >= crash_limit;
 }
 
+std::vector<suspect_message> crash_suspects::repeated(time_point now) const
+{
+    std::vector<suspect_message> result;
+    for (const auto& [request, known] : records_)
+    {
+        if (known.crashes.size() < 2 || now - known.last_crash > retention)
+            continue;
+        for (const auto crash : known.crashes)
+            result.push_back({request, crash});
+    }
+    return result;
+}
+
 } // namespace fescueridge::gateway
--- a/src/gateway/gateway_node_peers.cpp
+++ b/src/gateway/gateway_node_peers.cpp
@@ -34,6 +34,8 @@
     callbacks.on_link_open = [this](const link_ptr& opened)
     {
         opened->send(make_report(true));
+        for (const auto& suspect : executor_.repeated_suspects())
+            opened->send(suspect);
     };
     callbacks.on_report = [this](const peer& from)
     {
--- a/src/gateway/request_router.cpp
+++ b/src/gateway/request_router.cpp
@@ -235,6 +235,10 @@
     if (request->answer_deadline <= clock::now())
         return reject(request,
                       request->sends > 0 ? rejection::timeout : rejection::overload);
+    // The node beside the server may have been restarted and not know it.
+    if (executor_.is_quarantined(request->message))
+        return reject(request, request->sends > 0 ? rejection::server_failed
+                                                  : rejection::quarantined);
     const auto most = request->was_rejected && request->message.from_server
                           ? max_placements_per_call
                           : max_placements_per_request;
--- a/src/gateway/run_executor.cpp
+++ b/src/gateway/run_executor.cpp
@@ -204,14 +204,19 @@
     if (!tracker_.accepts())
         return tracker_.suspected() ? forward_failure::server_down
                                     : forward_failure::server_leaving;
-    if (!suspects_.empty() &&
-        suspects_.quarantined(request_fingerprint(call), clock::now()))
+    if (is_quarantined(call))
         return forward_failure::quarantined;
     if (call.body.size() > small_body && !has_room_for(call.body.size()))
         return forward_failure::queue_full;
     return std::nullopt;
 }
 
+bool run_executor::is_quarantined(const forward_message& call) const
+{
+    return !suspects_.empty() &&
+           suspects_.quarantined(request_fingerprint(call), clock::now());
+}
+
 // A single large request always has room.
 bool run_executor::has_room_for(std::size_t body_bytes) const
 {
--- a/src/gateway/server_tracker_test.cpp
+++ b/src/gateway/server_tracker_test.cpp
@@ -280,6 +280,10 @@
     const auto now = start + milliseconds{20'000};
     cr_expect(suspects.quarantined(crashing, now));
     cr_expect(!suspects.quarantined(other, now));
+    crash_suspects restarted;
+    for (const auto& suspect : suspects.repeated(now))
+        restarted.on_suspect(suspect, now);
+    cr_expect(restarted.quarantined(crashing, now));
     cr_expect(!suspects.quarantined(crashing, now + crash_suspects::retention * 2));
 }
 
--- a/src/include/fescueridge/gateway/crash_suspects.hpp
+++ b/src/include/fescueridge/gateway/crash_suspects.hpp
@@ -37,6 +37,9 @@
 
     bool quarantined(fingerprint request, time_point now) const;
 
+    /// Returns the crashes of the requests that ran at several, for a new process.
+    std::vector<suspect_message> repeated(time_point now) const;
+
     /// Returns whether no request is suspected, which saves callers from computing
     /// fingerprints.
     bool empty() const noexcept { return records_.empty(); }
--- a/src/include/fescueridge/gateway/run_executor.hpp
+++ b/src/include/fescueridge/gateway/run_executor.hpp
@@ -80,6 +80,15 @@
         suspects_.on_suspect(suspect, clock::now());
     }
 
+    /// Returns whether earlier runs of this request have crashed servers.
+    bool is_quarantined(const forward_message& call) const;
+
+    /// Returns the crashes of requests that ran at several, for a new process.
+    std::vector<suspect_message> repeated_suspects() const
+    {
+        return suspects_.repeated(clock::now());
+    }
+
     /// Records a call made by the server beside this node. Returns the priority of the
     /// run that most likely made it, or null when no run matches.
     std::optional<priority> on_server_call(const route_name& callee,
