Format a comment of client_connection

Cause: the comment of on_end() was written after the last run of the formatter. Change: clang-format, no change of behaviour. Result: check_format.sh passes.

--- a/src/transport/client_connection.cpp
+++ b/src/transport/client_connection.cpp
@@ -201,8 +201,8 @@
     owner_->buffered(std::exchange(buffered_bytes_, 0), 0);
 }
 
-// A reset can look like an orderly end, as the kernel reports its error only once, and the
-// write may get it. So the end completes an answer only once the request is written.
+// A reset can look like an orderly end, as the kernel reports its error only once, and
+// the write may get it. So the end completes an answer only once the request is written.
 void client_connection::on_end()
 {
     const bool whole = parser_.finish() == parse_status::complete;
