--- a/src/codec/field_reader.hpp
+++ b/src/codec/field_reader.hpp
@@ -120,6 +120,12 @@
         throw codec_error(fmt::format("field {} is not a text", position_));
     }
 
+    /// Returns whether the next field is a list.
+    bool next_is_array() const noexcept
+    {
+        return has_more() && frame_[position_].is_array();
+    }
+
     /// Returns whether fields are left: those that a newer version has added.
     bool has_more() const noexcept { return position_ < frame_.size(); }
 
--- a/src/codec/gateway_codec.cpp
+++ b/src/codec/gateway_codec.cpp
@@ -68,6 +68,25 @@
     return rate > 0 ? std::optional<call_rate>(call_rate(rate)) : std::nullopt;
 }
 
+/// A rank that is not compact is written as a list of its two parts.
+json to_field(const request_rank& rank)
+{
+    if (is_compact(rank))
+        return to_compact(rank);
+    return json::array({rank.tenant.get(), rank.route.get()});
+}
+
+request_rank read_rank(field_reader& in)
+{
+    if (!in.next_is_array())
+        return from_compact(in.number<std::uint64_t>(0, compact_rank_count - 1));
+    field_reader parts(in.array(1));
+    const routing_priority tenant(parts.unsigned64());
+    const routing_priority route(parts.unsigned64());
+    parts.expect_end();
+    return {tenant, route};
+}
+
 json to_array(const std::vector<route_arrivals>& entries)
 {
     json out = json::array();
@@ -77,7 +96,7 @@
             json::array({to_binary(entry.route.get()), to_thousandths(entry.new_per_s),
                          to_thousandths(entry.returned_per_s)});
         if (entry.rank)
-            fields.push_back(entry.rank->get());
+            fields.push_back(to_field(*entry.rank));
         out.push_back(std::move(fields));
     }
     return out;
@@ -94,7 +113,7 @@
         read.new_per_s = from_thousandths(fields);
         read.returned_per_s = from_thousandths(fields);
         if (fields.has_more())
-            read.rank = priority(fields.number<std::uint8_t>(0, lowest_request_rank));
+            read.rank = read_rank(fields);
         fields.expect_end();
         entries.push_back(std::move(read));
     }
@@ -155,7 +174,7 @@
 {
     append(out, m.number, to_binary(m.request.get()), to_binary(m.route.get()),
            to_binary(m.service.get()), to_binary(m.caller.get()), m.time_left.count(),
-           m.target_latency.count(), m.rank.get(), m.from_server ? 1 : 0,
+           m.target_latency.count(), to_field(m.rank), m.from_server ? 1 : 0,
            static_cast<int>(m.repeat), m.method, to_binary(m.target),
            to_binary(m.authority), to_array(m.headers), to_binary(m.body));
     if (!m.tenant.get().empty())
@@ -172,7 +191,7 @@
     m.caller = service_name(in.text());
     m.time_left = milliseconds(in.number<std::int64_t>(0, max_time_ms));
     m.target_latency = milliseconds(in.number<std::int64_t>(0, max_time_ms));
-    m.rank = priority(in.number<std::uint8_t>(0, lowest_request_rank));
+    m.rank = read_rank(in);
     m.from_server = in.number<int>(0, 1) == 1;
     m.repeat = in.number<repeat_rule>(0, static_cast<int>(repeat_rule::at_most_once));
     m.method = in.text();
--- a/src/codec/gateway_codec_test.cpp
+++ b/src/codec/gateway_codec_test.cpp
@@ -25,7 +25,7 @@
     message.caller = service_name("menu");
     message.time_left = milliseconds{800};
     message.target_latency = milliseconds{150};
-    message.rank = priority(2);
+    message.rank = request_rank(routing_priority(2));
     message.from_server = true;
     message.repeat = repeat_rule::idempotent;
     message.method = "PUT";
@@ -49,7 +49,7 @@
     report.max_rate = call_rate(40.5);
     report.queue_wait_share = 1.5;
     report.service_ms = 22.25;
-    report.arrivals = {{route_name("r1"), 10.5, 0.25}};
+    report.arrivals = {{route_name("r1"), 10.5, 0.25, std::nullopt}};
     report.with_learned = true;
     report.slot_times = {{route_name("r1"), 22.125}};
     report.calls = {{route_name("r1"), route_name("r2"), 4}};
@@ -160,15 +160,16 @@
 {
     auto forward = make_forward();
     forward.tenant = tenant_name("big");
-    forward.rank = priority(lowest_request_rank);
+    forward.rank = {routing_priority(9), routing_priority(9)};
     const auto read = round_trip(forward);
     cr_expect_str_eq(read.tenant.get().c_str(), "big");
-    cr_expect_eq(read.rank.get(), lowest_request_rank);
+    cr_expect(read.rank == forward.rank);
     auto report = make_report();
-    report.arrivals.push_back({route_name("r1"), 2, 0, priority(13)});
+    report.arrivals.push_back(
+        {route_name("r1"), 2, 0, request_rank(routing_priority(1), routing_priority(3))});
     const auto arrivals = round_trip(report).arrivals;
     cr_expect(!arrivals[0].rank);
-    cr_expect_eq(arrivals[1].rank->get(), 13);
+    cr_expect(arrivals[1].rank == report.arrivals[1].rank);
     const auto ask = round_trip(quota_ask_message{quota_name("big"), 12});
     cr_expect_str_eq(ask.quota.get().c_str(), "big");
     cr_expect_eq(ask.tokens, 12U);
@@ -178,6 +179,28 @@
     cr_expect_eq(grant.retry_after.count(), 40);
 }
 
+// Guards against a link that is closed, or ranks that become equal, because of a priority
+// beyond those that a single digit holds.
+Test(gateway_codec, carries_any_rank)
+{
+    const std::uint64_t largest = least_important_priority().get();
+    const std::vector<std::uint64_t> priorities{0, 9, 10, 12, 99, 100, 256, largest};
+    for (const auto tenant : priorities)
+    {
+        for (const auto route : priorities)
+        {
+            const request_rank rank{routing_priority(tenant), routing_priority(route)};
+            auto forward = make_forward();
+            forward.rank = rank;
+            cr_expect(round_trip(forward).rank == rank, "%s", to_string(rank).c_str());
+            auto report = make_report();
+            report.arrivals[0].rank = rank;
+            cr_expect(round_trip(report).arrivals[0].rank == rank, "%s",
+                      to_string(rank).c_str());
+        }
+    }
+}
+
 // Nodes of two versions work together during an update: without tenants, the frames are
 // those of the version before, and a message that is not known is no fault.
 Test(gateway_codec, talks_to_the_version_before)
--- a/src/gateway/admission_plan.cpp
+++ b/src/gateway/admission_plan.cpp
@@ -26,7 +26,7 @@
 constexpr double max_rejected_share = 0.95;
 
 /// Sort key of a class for the allocation of capacity.
-std::pair<priority, bool> allocation_key(const class_demand& demand)
+std::pair<request_rank, bool> allocation_key(const class_demand& demand)
 {
     return {demand.request_class.rank, demand.request_class.client_retry};
 }
--- a/src/gateway/admission_plan_test.cpp
+++ b/src/gateway/admission_plan_test.cpp
@@ -1,5 +1,7 @@
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 #include "fescueridge/gateway/admission_plan.hpp"
 
 using namespace fescueridge;
@@ -16,7 +18,8 @@
 
 admission_class class_of(const route_name& route, int rank, bool client_retry = false)
 {
-    return {route, priority(static_cast<std::uint8_t>(rank)), client_retry};
+    return {route, request_rank(routing_priority(static_cast<std::uint64_t>(rank))),
+            client_retry};
 }
 
 class_demand make_demand(const route_name& route, int rank, double per_s,
@@ -56,6 +59,31 @@
     cr_expect_float_eq(shares.at(class_of(browse, 2)), left / (900 * 88), 1e-9);
 }
 
+// Guards against priorities that become equal beyond the first ten, and against a route's
+// priority that outweighs its tenant's.
+Test(admission_plan, allocates_capacity_by_any_priority)
+{
+    const std::vector<request_rank> in_order{
+        request_rank(routing_priority(9)),
+        request_rank(routing_priority(12)),
+        request_rank(routing_priority(40)),
+        request_rank(routing_priority(300)),
+        request_rank(least_important_priority()),
+        {routing_priority(1), routing_priority(2)},
+        {routing_priority(12), routing_priority(0)},
+    };
+    constexpr double served = 3;
+    std::vector<class_demand> demands;
+    for (const auto& rank : in_order)
+        demands.push_back({{browse, rank, false}, 1, {{menu, 100}}, {}, {}});
+    std::reverse(demands.begin(), demands.end());
+    const auto shares = admitted_shares(demands, {{menu, served * 100}});
+    for (std::size_t i = 0; i < in_order.size(); ++i)
+        cr_expect_float_eq(shares.at({browse, in_order[i], false}),
+                           static_cast<double>(i) < served ? 1 : 0, 1e-9, "%s",
+                           to_string(in_order[i]).c_str());
+}
+
 // A route that hardly ever calls the overloaded service, or seems to, must not be refused
 // along with those that depend on it.
 Test(admission_plan, admits_what_rarely_needs_the_overloaded_service)
--- a/src/gateway/call_graph.cpp
+++ b/src/gateway/call_graph.cpp
@@ -64,8 +64,9 @@
            run.deadline_offset <= offset + deadline_tolerance;
 }
 
-/// Returns the priority with the largest probability; of equals, the most important one.
-std::optional<priority> most_likely_priority(const std::map<priority, double>& by_rank)
+/// Returns the rank with the largest probability; of equals, the most important one.
+std::optional<request_rank>
+most_likely_rank(const std::map<request_rank, double>& by_rank)
 {
     const auto most_likely = std::max_element(by_rank.begin(), by_rank.end(),
                                               [](const auto& a, const auto& b)
@@ -170,7 +171,7 @@
     return count == calls->second.end() ? 0 : std::max(0.0, count->second / runs->second);
 }
 
-std::optional<priority>
+std::optional<request_rank>
 call_graph_estimator::on_call(const route_name& callee, milliseconds time_left,
                               const std::vector<possible_parent>& running)
 {
@@ -262,12 +263,12 @@
     return std::max(min_calls_per_run, attributed_rate(route, callee));
 }
 
-std::optional<priority>
+std::optional<request_rank>
 call_graph_estimator::distribute(const route_name& callee,
                                  const std::vector<possible_parent>& candidates)
 {
     std::map<route_name, double> weights;
-    std::map<priority, double> by_rank;
+    std::map<request_rank, double> by_rank;
     double total = 0;
     for (const auto& run : candidates)
     {
@@ -280,7 +281,7 @@
     for (const auto& run : candidates)
         if (const auto found = open_.find(run.number); found != open_.end())
             found->second.calls[callee].expected += weights.at(run.route) / total;
-    return most_likely_priority(by_rank);
+    return most_likely_rank(by_rank);
 }
 
 void call_graph_estimator::add_evidence(const route_name& callee,
--- a/src/gateway/call_graph_test.cpp
+++ b/src/gateway/call_graph_test.cpp
@@ -82,7 +82,7 @@
                 running.push_back(
                     {other.number, other.kind->route,
                      milliseconds{other.kind->timeout_ms - other.age - left},
-                     priority(0)});
+                     request_rank(routing_priority(0))});
             estimator.on_call(tariff, milliseconds{left}, running);
         }
         for (const auto& entry : runs)
@@ -126,8 +126,9 @@
         estimator.on_run_started(number, push);
         const int calls = i <= 20 ? 8 : 2;
         for (int n = 0; n < calls; ++n)
-            estimator.on_call(tariff, milliseconds{300},
-                              {{number, push, milliseconds{0}, priority(0)}});
+            estimator.on_call(
+                tariff, milliseconds{300},
+                {{number, push, milliseconds{0}, request_rank(routing_priority(0))}});
         if (i <= 30)
             estimator.on_run_ended(number, i <= 20);
     }
@@ -158,7 +159,8 @@
     call_graph_estimator estimator;
     for (std::uint64_t i = 1; i <= 40; ++i)
     {
-        const possible_parent parent{run_number(i), push, milliseconds{700}, priority(0)};
+        const possible_parent parent{run_number(i), push, milliseconds{700},
+                                     request_rank(routing_priority(0))};
         estimator.on_run_started(parent.number, push);
         for (int n = 0; n < calls_per_run; ++n)
             estimator.on_call(tariff, milliseconds{680 - 25 * n}, {parent});
@@ -182,7 +184,8 @@
         estimator.on_run_started(run_number(i), push);
         for (int n = 0; n < calls_per_run; ++n)
             estimator.on_call(tariff, milliseconds{300},
-                              {{run_number(i), push, milliseconds{90}, priority(0)}});
+                              {{run_number(i), push, milliseconds{90},
+                                request_rank(routing_priority(0))}});
         estimator.on_run_ended(run_number(i), true);
     }
     std::uint64_t number = completed_runs;
@@ -190,7 +193,8 @@
     for (std::uint64_t i = 0; i < stuck_runs; ++i)
     {
         estimator.on_run_started(run_number(++number), push);
-        stuck.push_back({run_number(number), push, milliseconds{90}, priority(0)});
+        stuck.push_back({run_number(number), push, milliseconds{90},
+                         request_rank(routing_priority(0))});
     }
     for (const auto& oldest : std::vector<possible_parent>(stuck))
     {
@@ -198,7 +202,8 @@
         stuck.erase(stuck.begin());
         const run_number completed(++number);
         estimator.on_run_started(completed, push);
-        stuck.push_back({completed, push, milliseconds{90}, priority(0)});
+        stuck.push_back(
+            {completed, push, milliseconds{90}, request_rank(routing_priority(0))});
         for (int n = 0; n < calls_per_run; ++n)
             estimator.on_call(tariff, milliseconds{300}, stuck);
         stuck.pop_back();
@@ -208,21 +213,23 @@
                        0.4, "%f", calls_per_run_of(estimator.edges(), push, tariff));
 }
 
-// A call queued with the wrong priority delays an important request. It must inherit the
-// priority of the run that has the same deadline.
-Test(call_graph, returns_the_priority_of_the_parent)
+// A call queued with the wrong rank delays an important request. It must inherit the
+// rank of the run that has the same deadline.
+Test(call_graph, returns_the_rank_of_the_parent)
 {
     call_graph_estimator estimator;
-    const possible_parent slow{run_number(1), sync, milliseconds{900}, priority(2)};
-    const possible_parent urgent{run_number(2), push, milliseconds{0}, priority(0)};
+    const possible_parent slow{run_number(1), sync, milliseconds{900},
+                               request_rank(routing_priority(2))};
+    const possible_parent urgent{run_number(2), push, milliseconds{0},
+                                 request_rank(routing_priority(0))};
     cr_expect(!estimator.on_call(tariff, milliseconds{2'000}, {}).has_value());
     const auto long_call = estimator.on_call(tariff, milliseconds{2'000}, {slow});
     cr_assert(long_call.has_value());
-    cr_expect_eq(long_call->get(), 2);
+    cr_expect(*long_call == slow.rank);
     const auto shortened_call =
         estimator.on_call(tariff, milliseconds{300}, {slow, urgent});
     cr_assert(shortened_call.has_value());
-    cr_expect_eq(shortened_call->get(), 0);
+    cr_expect(*shortened_call == urgent.rank);
 }
 
 // An estimated call graph may contain a cycle, which must not remove the costs of deep
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -35,7 +35,7 @@
         const auto* configured = table_.find(route.route);
         if (!configured)
             continue;
-        const auto rank = route.rank.value_or(configured->rank);
+        const auto rank = route.rank.value_or(request_rank(configured->rank));
         auto& classes = arrivals_[route.route];
         classes[{route.route, rank, false}] += route.new_per_s;
         classes[{route.route, rank, true}] += route.returned_per_s;
--- a/src/gateway/fleet_view_test.cpp
+++ b/src/gateway/fleet_view_test.cpp
@@ -82,8 +82,10 @@
     std::map<service_name, capacity_correction> corrections;
     const auto shares = admitted_shares(fleet.demands({route_name("rates")}, calls),
                                         fleet.capacity(corrections));
-    cr_expect_eq(shares.at({route_name("browse"), priority(0), false}), 0);
-    cr_expect_eq(shares.at({route_name("lookup"), priority(0), false}), 1);
+    cr_expect_eq(
+        shares.at({route_name("browse"), request_rank(routing_priority(0)), false}), 0);
+    cr_expect_eq(
+        shares.at({route_name("lookup"), request_rank(routing_priority(0)), false}), 1);
 }
 
 // A process that has just started has not heard of all servers yet; it must not refuse
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -215,6 +215,7 @@
                        {"source", std::string(source)},
                        {"routes", static_cast<std::int64_t>(config.routes.size())},
                        {"tenants", static_cast<std::int64_t>(config.tenants.size())}});
+    peers_.set_rank_scale(rank_scale(config));
     router_.set_route_table(table_);
     request_server_->set_limits(config.limits.sizes_for_links());
     if (config.limits.idle_timeout > milliseconds{0})
--- a/src/gateway/gateway_node_peers.cpp
+++ b/src/gateway/gateway_node_peers.cpp
@@ -33,7 +33,7 @@
     };
     callbacks.on_link_open = [this](const link_ptr& opened)
     {
-        opened->send(make_report(true));
+        peers_.send(opened->peer().node, make_report(true));
         for (const auto& suspect : executor_.repeated_suspects())
             opened->send(suspect);
     };
--- a/src/gateway/metrics_text.cpp
+++ b/src/gateway/metrics_text.cpp
@@ -80,7 +80,7 @@
             const auto rank = router.rank_of(arrivals);
             const auto labels =
                 fmt::format("route=\"{}\",priority=\"{}\",returned=\"{}\"",
-                            arrivals.route.get(), rank.get(), client_retry);
+                            arrivals.route.get(), to_string(rank), client_retry);
             out.add("route_arrivals_per_second", labels,
                     client_retry ? arrivals.returned_per_s : arrivals.new_per_s);
             out.add("route_admitted_share", labels,
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -5,6 +5,7 @@
 #include "fescueridge/base/overloaded.hpp"
 #include "fescueridge/gateway/freshness.hpp"
 #include "fescueridge/gateway/report_schedule.hpp"
+#include "wide_values.hpp"
 
 namespace fescueridge::gateway
 {
@@ -58,7 +59,7 @@
     {
         return hello_message{self_.node,
                              incarnation(static_cast<std::uint64_t>(self_.started_ms)),
-                             self_.domain, sheet_version(0)};
+                             self_.domain, state_revision(link_revision::wide_values)};
     };
     auto options = link_heartbeat;
     options.max_waiting_bytes = settings_.process.link_bytes();
@@ -200,6 +201,8 @@
 
 void peers::on_message(const link_ptr& from, link_message message)
 {
+    if (!reads_wide_values(from->peer()))
+        message = with_expanded_values(std::move(message), scale_);
     std::visit(
         overloaded{[&](forward_message& m) { callbacks_.on_forward(from, std::move(m)); },
                    [&](forward_reply_message& m) { on_reply(from, std::move(m)); },
@@ -249,14 +252,15 @@
         return 0;
     peer& to = found->second;
     message.number = ++next_number_;
-    if (!to.connection->send(message))
+    const auto time_left = message.time_left;
+    if (!send_on(to.connection, std::move(message)))
         return 0;
-    to.connection->expect_reply(message.time_left);
+    to.connection->expect_reply(time_left);
     ++to.in_flight;
     ++to.sent_since_report;
-    forwarded_requests_.emplace(message.number,
+    forwarded_requests_.emplace(next_number_,
                                 forwarded_request{node, to.connection, std::move(done)});
-    return message.number;
+    return next_number_;
 }
 
 void peers::on_reply(const link_ptr& from, forward_reply_message reply)
@@ -314,15 +318,29 @@
 {
     const auto found = peers_.find(node);
     if (found != peers_.end() && found->second.connection)
-        found->second.connection->send(message);
+        send_on(found->second.connection, message);
+}
+
+bool peers::send_on(const link_ptr& connection, link_message message)
+{
+    if (!reads_wide_values(connection->peer()))
+        message = with_compact_values(std::move(message), scale_);
+    return connection->send(message);
 }
 
 void peers::broadcast(const link_message& message)
 {
     const auto encoded = hub_->encode(message);
+    std::optional<encoded_message> compact;
     for (const auto& [node, other] : peers_)
-        if (other.connection)
-            other.connection->send_encoded(encoded);
+    {
+        if (!other.connection)
+            continue;
+        const bool wide = reads_wide_values(other.connection->peer());
+        if (!wide && !compact)
+            compact = hub_->encode(with_compact_values(message, scale_));
+        other.connection->send_encoded(wide ? encoded : *compact);
+    }
 }
 
 void peers::record_outcome(const node_id& node, bool failed)
--- a/src/gateway/request_router.cpp
+++ b/src/gateway/request_router.cpp
@@ -299,11 +299,11 @@
 }
 
 // The priority of the route needs no bytes in a report.
-std::optional<priority>
+std::optional<request_rank>
 request_router::reported_rank(const admission_class& request_class) const
 {
     const auto* configured = table_ ? table_->find(request_class.route) : nullptr;
-    if (configured && configured->rank == request_class.rank)
+    if (configured && request_rank(configured->rank) == request_class.rank)
         return std::nullopt;
     return request_class.rank;
 }
@@ -311,7 +311,7 @@
 std::vector<route_arrivals> request_router::arrivals() const
 {
     constexpr double min_reported_rate_per_s = 0.05;
-    std::map<std::pair<route_name, priority>, route_arrivals> by_rank;
+    std::map<std::pair<route_name, request_rank>, route_arrivals> by_rank;
     for (const auto& [request_class, meter] : arrivals_)
     {
         if (meter.per_s <= min_reported_rate_per_s)
--- a/src/gateway/request_router_answers.cpp
+++ b/src/gateway/request_router_answers.cpp
@@ -281,7 +281,7 @@
         {"config", static_cast<std::int64_t>(
                        request.table ? request.table->config().version.get() : 0)},
         {"from_server", message.from_server},
-        {"priority", std::int64_t{message.rank.get()}},
+        {"priority", to_string(message.rank)},
         {"tenant", message.tenant.get()},
         {"age_ms", static_cast<std::int64_t>((now - request.arrival).count())},
         {"left_ms", static_cast<std::int64_t>((request.answer_deadline - now).count())},
--- a/src/gateway/request_router_tenants.cpp
+++ b/src/gateway/request_router_tenants.cpp
@@ -14,19 +14,20 @@
     quotas_.set_limits(table_->quotas());
 }
 
-priority request_router::rank_of(const route_arrivals& arrivals) const
+request_rank request_router::rank_of(const route_arrivals& arrivals) const
 {
     if (arrivals.rank)
         return *arrivals.rank;
     const auto* configured = table_ ? table_->find(arrivals.route) : nullptr;
-    return configured ? configured->rank : priority(lowest_priority);
+    return request_rank(configured ? configured->rank : least_important_priority());
 }
 
-priority request_router::rank_of(const request_state& request) const
+request_rank request_router::rank_of(const request_state& request) const
 {
     const auto route_rank = request.matched_route->rank;
     const bool has_own = request.tenant && request.tenant->rank;
-    return has_own ? request_rank(*request.tenant->rank, route_rank) : route_rank;
+    return has_own ? request_rank(*request.tenant->rank, route_rank)
+                   : request_rank(route_rank);
 }
 
 // Calls of servers carry no key: their routes are anonymous.
--- a/src/gateway/run_executor.cpp
+++ b/src/gateway/run_executor.cpp
@@ -143,8 +143,8 @@
     start_and_drop(dequeued);
 }
 
-std::optional<priority> run_executor::on_server_call(const route_name& callee,
-                                                     milliseconds time_left)
+std::optional<request_rank> run_executor::on_server_call(const route_name& callee,
+                                                         milliseconds time_left)
 {
     const auto call_deadline = clock::now() + time_left;
     std::vector<possible_parent> running;
--- a/src/gateway/run_queue_ranks_test.cpp
+++ b/src/gateway/run_queue_ranks_test.cpp
@@ -17,7 +17,7 @@
 /// Kind of client request that makes sequential calls of one server.
 struct chain_kind
 {
-    priority rank;
+    request_rank rank;
     double starts_per_ms;
     unsigned calls;
     int pause_ms; ///< Local work before each call.
@@ -48,7 +48,7 @@
     {
     }
 
-    std::map<priority, request_counts> simulate(int duration_ms)
+    std::map<request_rank, request_counts> simulate(int duration_ms)
     {
         for (int ms = 0; ms < duration_ms; ++ms)
             step(start + milliseconds{ms});
@@ -127,12 +127,47 @@
     std::map<run_number, chain> calls_;
     std::map<time_point, std::vector<run_number>> ends_;
     std::map<time_point, std::vector<chain>> due_;
-    std::map<priority, request_counts> request_counts_;
+    std::map<request_rank, request_counts> request_counts_;
     std::uint64_t last_number_ = 0;
 };
 
 } // namespace
 
+// Guards against priorities that become equal beyond the first ten, and against a route's
+// priority that outweighs its tenant's.
+Test(run_queue_ranks, starts_requests_in_the_order_of_any_ranks)
+{
+    const std::vector<request_rank> in_order{
+        request_rank(routing_priority(9)),
+        request_rank(routing_priority(12)),
+        request_rank(routing_priority(40)),
+        request_rank(routing_priority(300)),
+        request_rank(least_important_priority()),
+        {routing_priority(1), routing_priority(2)},
+        {routing_priority(12), routing_priority(0)},
+    };
+    run_queue queue(1);
+    run_offer run;
+    run.deadline = start + milliseconds{10'000};
+    run.target_latency = milliseconds{5'000};
+    run.from_server = true;
+    queue.offer(run, start);
+    for (std::size_t i = in_order.size(); i > 0; --i)
+    {
+        run.number = run_number(i);
+        run.rank = in_order[i - 1];
+        queue.offer(run, start);
+    }
+    run_number running = run_number(0);
+    for (std::size_t i = 1; i <= in_order.size(); ++i)
+    {
+        const auto dequeued = queue.finish(running, start, false);
+        cr_assert_eq(dequeued.to_start.size(), 1U);
+        running = dequeued.to_start.front();
+        cr_expect_eq(running.get(), i);
+    }
+}
+
 // A server with 27 slots of 22 ms receives 1.4 times its capacity for 6 s: priority 0
 // pushes with eight sequential calls in 800 ms, which use 70% of the capacity, and
 // priority 2 menus with four calls in 5 s. If all calls waited equally, the eight waits
@@ -140,8 +175,8 @@
 Test(run_queue_ranks, completes_important_requests_under_overload)
 {
     constexpr double calls_per_ms = 27.0 / 22;
-    const priority push(0);
-    const priority menu(2);
+    const request_rank push{routing_priority(0)};
+    const request_rank menu{routing_priority(2)};
     chain_load load(27, 22,
                     {{push, 0.7 * calls_per_ms / 8, 8, 40, 800},
                      {menu, 0.7 * calls_per_ms / 4, 4, 20, 5'000}});
--- a/src/include/fescueridge/base/types.hpp
+++ b/src/include/fescueridge/base/types.hpp
@@ -82,17 +82,6 @@
 /// Least important priority that exists.
 constexpr std::uint8_t lowest_priority = 9;
 
-/// Least important rank of a request that a gateway routes: by the priority of its tenant
-/// and, within it, by that of its route. Without a tenant it is the route's alone.
-constexpr std::uint8_t lowest_request_rank = 99;
-
-/// Returns the rank of a tenant's request.
-inline priority request_rank(priority tenant, priority route)
-{
-    constexpr std::uint8_t route_ranks = lowest_priority + 1;
-    return priority(static_cast<std::uint8_t>(route_ranks * tenant.get() + route.get()));
-}
-
 /// Longest chain of calls under one root, as the design size states.
 constexpr std::uint32_t max_call_depth = 13;
 
--- a/src/include/fescueridge/codec/gateway_messages.hpp
+++ b/src/include/fescueridge/codec/gateway_messages.hpp
@@ -7,6 +7,7 @@
 
 #include "fescueridge/base/clock.hpp"
 #include "fescueridge/base/endpoint.hpp"
+#include "fescueridge/base/request_rank.hpp"
 #include "fescueridge/base/server_state.hpp"
 #include "fescueridge/base/types.hpp"
 #include "fescueridge/codec/header_field.hpp"
@@ -17,6 +18,14 @@
 /// Messages between the gateway nodes: requests on their way to the node beside a backend
 /// server, and what the nodes tell each other about themselves.
 
+/// Revision of these messages that a node reads, which it states in its hello. The first
+/// one has compact ranks only.
+enum class link_revision : std::uint8_t
+{
+    compact_values, ///< Nodes until December 2026.
+    wide_values
+};
+
 /// Whether a request may run again after an attempt that may have run.
 enum class repeat_rule : std::uint8_t
 {
@@ -35,7 +44,7 @@
     tenant_name tenant;  ///< Of the client; empty for calls and without tenants.
     milliseconds time_left{0};
     milliseconds target_latency{0};
-    priority rank; ///< Of the request of a client that it is part of, where known.
+    request_rank rank; ///< Of the request of a client that it is part of, where known.
     bool from_server = false; ///< A backend server's own call, part of a running request.
     repeat_rule repeat = repeat_rule::at_most_once;
     std::string method;
@@ -118,7 +127,7 @@
     route_name route;
     double new_per_s = 0;
     double returned_per_s = 0;
-    std::optional<priority> rank; ///< Null stands for the priority of the route.
+    std::optional<request_rank> rank; ///< Null stands for the priority of the route.
 };
 
 /// How long a request of a route holds a slot at the backend server beside a node.
--- a/src/include/fescueridge/codec/messages.hpp
+++ b/src/include/fescueridge/codec/messages.hpp
@@ -41,6 +41,8 @@
     node_id node;
     incarnation number;
     domain_name domain;
+    /// Gateway nodes have no sheet and state their link_revision in this place: the nodes
+    /// before the revisions accept no further field.
     sheet_version version;
 };
 
--- a/src/include/fescueridge/gateway/admission_plan.hpp
+++ b/src/include/fescueridge/gateway/admission_plan.hpp
@@ -16,7 +16,7 @@
 struct admission_class
 {
     route_name route;
-    priority rank; ///< Of the tenant and, within it, of the route.
+    request_rank rank; ///< Of the tenant and, within it, of the route.
     bool client_retry = false;
 
     friend bool operator<(const admission_class& a, const admission_class& b)
--- a/src/include/fescueridge/gateway/call_graph.hpp
+++ b/src/include/fescueridge/gateway/call_graph.hpp
@@ -21,7 +21,7 @@
     run_number number;
     route_name route;
     milliseconds deadline_offset{0}; ///< Deadline of the run minus deadline of the call.
-    priority rank;                   ///< Of the client request that the run is part of.
+    request_rank rank;               ///< Of the client request that the run is part of.
 };
 
 /// Estimates how often a run of each route calls other routes, from the calls made by the
@@ -56,9 +56,9 @@
     void set_initial_edges(const std::vector<call_edge>& edges);
 
     /// Records a call of the backend server; `running` are the runs that may have made
-    /// it. Returns the priority of the most likely parent, or null when no run matches.
-    std::optional<priority> on_call(const route_name& callee, milliseconds time_left,
-                                    const std::vector<possible_parent>& running);
+    /// it. Returns the rank of the most likely parent, or null when no run matches.
+    std::optional<request_rank> on_call(const route_name& callee, milliseconds time_left,
+                                        const std::vector<possible_parent>& running);
 
     /// Decays the counts so that the estimates follow changes; call it once per second.
     void decay();
@@ -102,8 +102,8 @@
     bool is_held(const route_name& route) const;
     double weight_of(const route_name& route, const route_name& callee) const;
     void reweigh_once(const route_name& callee);
-    std::optional<priority> distribute(const route_name& callee,
-                                       const std::vector<possible_parent>& candidates);
+    std::optional<request_rank>
+    distribute(const route_name& callee, const std::vector<possible_parent>& candidates);
     void add_evidence(const route_name& callee, const std::vector<possible_parent>& runs,
                       double sign);
 
--- a/src/include/fescueridge/gateway/peers.hpp
+++ b/src/include/fescueridge/gateway/peers.hpp
@@ -10,6 +10,7 @@
 #include "fescueridge/base/events.hpp"
 #include "fescueridge/gateway/decision_log.hpp"
 #include "fescueridge/gateway/failure_rate.hpp"
+#include "fescueridge/gateway/rank_scale.hpp"
 #include "fescueridge/gateway/settings.hpp"
 #include "fescueridge/transport/link_hub.hpp"
 
@@ -91,6 +92,9 @@
     /// for so long that it may be broken.
     bool is_unresponsive(const peer& other) const;
 
+    /// Sets how ranks are expressed for peers of the version before.
+    void set_rank_scale(rank_scale scale) { scale_ = std::move(scale); }
+
     /// Sends a message to a peer if it is linked.
     void send(const node_id& node, const link_message& message);
 
@@ -126,6 +130,7 @@
     void on_reply(const link_ptr& from, forward_reply_message reply);
     void on_report(const link_ptr& from, node_report_message report);
     void send_server_record(const link_ptr& to, const peer& about);
+    bool send_on(const link_ptr& connection, link_message message);
     void dial_unlinked_peers();
     void schedule_dialling();
     peer* find_peer(const link_ptr& connection);
@@ -138,6 +143,7 @@
     node_record self_;
     asio::steady_timer dial_timer_;
     std::map<node_id, peer> peers_;
+    rank_scale scale_;
     std::unordered_map<std::uint64_t, forwarded_request> forwarded_requests_;
     std::uint64_t next_number_ = 0;
     std::unique_ptr<link_hub> hub_;
--- a/src/include/fescueridge/gateway/request_router.hpp
+++ b/src/include/fescueridge/gateway/request_router.hpp
@@ -113,8 +113,8 @@
     quota_gate& quotas() noexcept { return quotas_; }
     const quota_gate& quotas() const noexcept { return quotas_; }
 
-    /// Returns the priority that an entry of arrivals() stands for.
-    priority rank_of(const route_arrivals& arrivals) const;
+    /// Returns the rank that an entry of arrivals() stands for.
+    request_rank rank_of(const route_arrivals& arrivals) const;
 
 private:
     struct request_state;
@@ -123,7 +123,7 @@
     void begin_request(const request_ptr& request, http_request&& raw);
     std::optional<rejection> identify_tenant(request_state& request,
                                              const std::vector<client_key>& keys);
-    priority rank_of(const request_state& request) const;
+    request_rank rank_of(const request_state& request) const;
     bool is_server_call(const request_state& request) const;
     bool may_begin(const request_state& request) const;
     void watch(const request_ptr& request, milliseconds time);
@@ -163,7 +163,7 @@
     service_rejections_of(const fleet_view& fleet,
                           const std::vector<class_demand>& demands, time_point now);
     void count_arrival(const admission_class& request_class);
-    std::optional<priority> reported_rank(const admission_class& request_class) const;
+    std::optional<request_rank> reported_rank(const admission_class& request_class) const;
 
     asio::io_context& io_;
     const node_settings& settings_;
--- a/src/include/fescueridge/gateway/routing_config.hpp
+++ b/src/include/fescueridge/gateway/routing_config.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "fescueridge/base/clock.hpp"
+#include "fescueridge/base/request_rank.hpp"
 #include "fescueridge/base/types.hpp"
 #include "fescueridge/codec/gateway_messages.hpp"
 #include "fescueridge/overload/quota_limit.hpp"
@@ -32,7 +33,7 @@
     repeat_rule repeat = repeat_rule::at_most_once;
     milliseconds timeout{0};        ///< Maximum time until a client is answered.
     milliseconds target_latency{0}; ///< Answers within this time have full value.
-    priority rank;
+    routing_priority rank;
     unsigned max_servers = 1; ///< Maximum number of backend servers tried per request.
     std::vector<weighted_target> targets;
     bool anonymous = false; ///< Its requests need no key.
@@ -43,8 +44,8 @@
 {
     tenant_name name;
     std::vector<client_key> keys;
-    std::optional<priority> rank;     ///< Goes before the priority of the route.
-    std::optional<quota_limit> quota; ///< Of all nodes together; null for no limit.
+    std::optional<routing_priority> rank; ///< Goes before the priority of the route.
+    std::optional<quota_limit> quota;     ///< Of all nodes together; null for no limit.
 };
 
 /// An entry of the table of tenants that cannot be used. The others are not affected.
--- a/src/include/fescueridge/gateway/run_executor.hpp
+++ b/src/include/fescueridge/gateway/run_executor.hpp
@@ -89,10 +89,10 @@
         return suspects_.repeated(clock::now());
     }
 
-    /// Records a call made by the server beside this node. Returns the priority of the
+    /// Records a call made by the server beside this node. Returns the rank of the
     /// run that most likely made it, or null when no run matches.
-    std::optional<priority> on_server_call(const route_name& callee,
-                                           milliseconds time_left);
+    std::optional<request_rank> on_server_call(const route_name& callee,
+                                               milliseconds time_left);
 
     /// Returns whether a running request may have made a call with this much time left: a
     /// call does not last longer than its parent.
--- a/src/include/fescueridge/gateway/run_queue.hpp
+++ b/src/include/fescueridge/gateway/run_queue.hpp
@@ -26,7 +26,7 @@
     time_point deadline;            ///< The caller stops waiting at this time.
     milliseconds target_latency{0}; ///< Measured from its arrival.
     bool from_server = false;       ///< Call of a request that already runs elsewhere.
-    priority rank;                  ///< Of the client request that it is part of.
+    request_rank rank;              ///< Of the client request that it is part of.
     size_class size{};              ///< Of its body.
 };
 
@@ -156,7 +156,7 @@
     };
     struct order_key
     {
-        priority rank;
+        request_rank rank;
         time_point target_time;
         std::uint64_t number = 0; ///< Ascending in order of arrival.
 
