Apply a configuration without the values that cannot be used

Callers saw the version before in force on all nodes because one value of the new one was missing, of another type or out of a bound. A process that started afterwards had no configuration unless a peer gave it an older one. The operator, whose write the log had answered with 200, was told nothing. Keys of an unusable tenant were answered 401.

Cause: parse_config() threw at the first such value, and apply_config() knew the whole version or none of it.

Change: config_parser notes each value that cannot be used as a fault and takes a default that does not depend on earlier versions, or leaves out the entry that cannot do without the value. A route without a usable service stays and refuses its requests as not run, so that they are not taken for those of a shorter prefix. Keys of unusable tenants get 503. The version in force, a newer one that cannot be used, and the faults are in the readiness answer, the metrics and the log. A version that cannot be used at all is not pulled from peers again and again.

The code of the configuration moved out of gateway_node.cpp into a file of its own.

--- a/src/gateway/decision_log.cpp
+++ b/src/gateway/decision_log.cpp
@@ -48,6 +48,8 @@
         return "config_applied";
     case log_event::config_unusable:
         return "config_unusable";
+    case log_event::config_value_unusable:
+        return "config_value_unusable";
     case log_event::log_lost:
         return "log_lost";
     case log_event::log_regained:
--- a/src/gateway/gateway_node.cpp
+++ b/src/gateway/gateway_node.cpp
@@ -185,52 +185,6 @@
     departures_.on_log_restored();
 }
 
-// Ignores versions that are not newer than the current one, such as those from a slower
-// source.
-void gateway_node::impl::apply_config(const std::string& content, const char* source)
-{
-    try
-    {
-        auto config = wire_.read_config(content);
-        const auto current_version =
-            table_ ? table_->config().version : config_version(0);
-        if (table_ && config.version <= current_version)
-            return;
-        table_ = std::make_shared<const route_table>(std::move(config));
-    }
-    catch (const codec_error& error)
-    {
-        decisions_.record(log_event::config_unusable,
-                          {{"source", std::string(source)}, {"detail", error.what()}});
-        return;
-    }
-    config_text_ = content;
-    const auto& config = table_->config();
-    for (const auto& tenant : config.unusable_tenants)
-        decisions_.record(log_event::config_unusable, {{"source", std::string(source)},
-                                                       {"tenant", tenant.name.get()},
-                                                       {"detail", tenant.detail}});
-    decisions_.record(log_event::config_applied,
-                      {{"version", static_cast<std::int64_t>(config.version.get())},
-                       {"source", std::string(source)},
-                       {"routes", static_cast<std::int64_t>(config.routes.size())},
-                       {"tenants", static_cast<std::int64_t>(config.tenants.size())}});
-    peers_.set_rank_scale(rank_scale(config));
-    router_.set_route_table(table_);
-    request_server_->set_limits(config.limits.sizes_for_links());
-    if (config.limits.idle_timeout > milliseconds{0})
-        request_server_->set_timeouts(config.limits.header_timeout,
-                                      config.limits.idle_timeout);
-    configure_executor();
-    schedule_report();
-}
-
-void gateway_node::impl::configure_executor()
-{
-    if (const auto* service = table_ ? table_->service(service_) : nullptr)
-        executor_.configure(*service);
-}
-
 void gateway_node::impl::set_service(const service_name& service)
 {
     if (service == service_)
@@ -263,17 +217,18 @@
         return exchange.respond(
             {200,
              {{"Content-Type", "text/plain; version=0.0.4"}},
-             metrics_text(router_, executor_, peers_, decisions_, table_.get(),
-                          log_status{config_follower_->unconfirmed_for(),
-                                     config_follower_->skipped() + records_.skipped(),
-                                     departures_.waiting()},
-                          client_status{client_bytes_->used(), client_bytes_->peak(),
-                                        request_server_->open_connections(),
-                                        client_faults_})});
+             metrics_text(
+                 router_, executor_, peers_, decisions_,
+                 config_status{table_.get(), unusable_version_, unusable_configs_},
+                 log_status{config_follower_->unconfirmed_for(),
+                            config_follower_->skipped() + records_.skipped(),
+                            departures_.waiting()},
+                 client_status{client_bytes_->used(), client_bytes_->peak(),
+                               request_server_->open_connections(), client_faults_})});
     const bool ready = table_ && !stopping_since_;
     exchange.respond({ready ? 200 : 503,
                       {{"Content-Type", "text/plain"}},
-                      ready ? "ready\n" : "not ready\n"});
+                      (ready ? "ready\n" : "not ready\n") + describe_config()});
 }
 
 void gateway_node::impl::handle_announcement(
@@ -322,7 +277,7 @@
 node_report_message gateway_node::impl::make_report(bool with_learned)
 {
     node_report_message report;
-    report.version = table_ ? table_->config().version : config_version(0);
+    report.version = version_in_force();
     report.config_unconfirmed_for = config_follower_->unconfirmed_for();
     executor_.fill_report(report);
     report.arrivals = router_.arrivals();
--- a/src/gateway/gateway_node_impl.hpp
+++ b/src/gateway/gateway_node_impl.hpp
@@ -15,9 +15,9 @@
 namespace fescueridge::gateway
 {
 
-/// State of a gateway node, which connects its parts. gateway_node.cpp has its start and
-/// its configuration, gateway_node_peers.cpp what other nodes send, gateway_node_stop.cpp
-/// its end.
+/// State of a gateway node, which connects its parts. gateway_node.cpp has its start,
+/// gateway_node_config.cpp its configuration, gateway_node_peers.cpp what other nodes
+/// send, gateway_node_stop.cpp its end.
 class gateway_node::impl
 {
 public:
@@ -39,7 +39,14 @@
     void on_log_restored();
 
     void configure_executor();
-    void apply_config(const std::string& content, const char* source);
+    void apply_config(const std::string& content, const std::string& source);
+    config_version version_in_force() const;
+    std::optional<routing_config> read_newer_config(const std::string& content,
+                                                    const std::string& source);
+    void log_unusable_config(const std::string& source, config_version version,
+                             const char* detail);
+    void log_config(const routing_config& config, const std::string& source);
+    std::string describe_config() const;
     void store_call_edges();
 
     void handle_readiness(const http_request& request, http_exchange& exchange);
@@ -81,6 +88,9 @@
     std::shared_ptr<topic_follower> config_follower_;
     std::shared_ptr<const route_table> table_;
     std::string config_text_;
+    /// The newest version of which no part can be applied, if newer than the table's.
+    config_version unusable_version_;
+    std::uint64_t unusable_configs_ = 0; ///< Records that could not be applied.
     std::map<std::pair<link*, std::uint64_t>, run_number> remote_runs_;
     std::vector<timer_ptr> timers_;
     report_schedule report_schedule_{clock::now()};
--- a/src/gateway/gateway_node_peers.cpp
+++ b/src/gateway/gateway_node_peers.cpp
@@ -134,7 +134,7 @@
 
 void gateway_node::impl::on_report(const peer& from)
 {
-    const auto have = table_ ? table_->config().version : config_version(0);
+    const auto have = version_in_force();
     const auto now = clock::now();
     if (from.report.version <= have)
     {
@@ -142,7 +142,9 @@
             config_follower_->confirm(now - from.report.config_unconfirmed_for);
         return;
     }
-    if (now < next_config_pull_ || !from.connection)
+    // A version that this node could not apply is not pulled again.
+    const bool is_unusable = from.report.version == unusable_version_;
+    if (is_unusable || now < next_config_pull_ || !from.connection)
         return;
     next_config_pull_ = now + config_pull_interval;
     from.connection->send(config_pull_message{have});
--- a/src/gateway/metrics_text.cpp
+++ b/src/gateway/metrics_text.cpp
@@ -117,7 +117,7 @@
 
 std::string metrics_text(const request_router& router, const run_executor& executor,
                          const peers& node_peers, const decision_log& decisions,
-                         const route_table* table, const log_status& log,
+                         const config_status& config, const log_status& log,
                          const client_status& clients)
 {
     text_writer out;
@@ -135,7 +135,11 @@
     out.add("link_bytes_sent_total", "", traffic.bytes_sent);
     out.add("link_bytes_received_total", "", traffic.bytes_received);
     out.add("link_unknown_messages_total", "", traffic.unknown_messages);
+    const auto* table = config.table;
     out.add("config_version", "", table ? table->config().version.get() : 0);
+    out.add("config_faults", "", table ? table->config().faults.size() : 0);
+    out.add("config_unusable_version", "", config.unusable_version.get());
+    out.add("config_unusable_records_total", "", config.unusable_records);
     out.add("config_unconfirmed_seconds", "", in_seconds(log.config_unconfirmed_for));
     out.add("records_skipped_total", "", log.records_skipped);
     out.add("departures_waiting", "", log.departures_waiting);
--- a/src/gateway/metrics_text.hpp
+++ b/src/gateway/metrics_text.hpp
@@ -7,6 +7,14 @@
 namespace fescueridge::gateway
 {
 
+/// The configuration in force, and what of newer ones cannot be used.
+struct config_status
+{
+    const route_table* table = nullptr; ///< Null while there is none.
+    config_version unusable_version;    ///< Newer than the table's; 0 for none.
+    std::uint64_t unusable_records = 0; ///< Since the start of the process.
+};
+
 /// What a node knows of the platform's log.
 struct log_status
 {
@@ -28,7 +36,7 @@
 /// format. `table` is null while the node has no routing configuration.
 std::string metrics_text(const request_router& router, const run_executor& executor,
                          const peers& node_peers, const decision_log& decisions,
-                         const route_table* table, const log_status& log,
+                         const config_status& config, const log_status& log,
                          const client_status& clients);
 
 } // namespace fescueridge::gateway
--- a/src/gateway/request_router.cpp
+++ b/src/gateway/request_router.cpp
@@ -71,8 +71,10 @@
     if (!request->matched_route)
         return reject(request, rejection::no_route);
     const route& matched_route = *request->matched_route;
-    if (head.id.get().empty() || matched_route.targets.empty())
+    if (head.id.get().empty())
         return reject(request, rejection::bad_request);
+    if (matched_route.targets.empty())
+        return reject(request, rejection::unusable);
     if (const auto refused = identify_tenant(*request, head.keys))
         return reject(request, *refused);
     const auto time =
--- a/src/gateway/request_router_tenants.cpp
+++ b/src/gateway/request_router_tenants.cpp
@@ -45,6 +45,8 @@
     if (config_bounds.fail_closed && config_age > config_bounds.revoke)
         return rejection::no_config;
     request.tenant = request.table->find_tenant(keys.front());
+    if (request.table->is_key_of_unusable_tenant(keys.front()))
+        return rejection::unusable;
     if (!request.tenant)
         // A newer configuration may hold the key.
         return config_age > config_bounds.config_apply ? rejection::no_config
--- a/src/gateway/routing_config.cpp
+++ b/src/gateway/routing_config.cpp
@@ -48,6 +48,8 @@
     for (std::size_t i = 0; i < config_.tenants.size(); ++i)
         for (const auto& key : config_.tenants[i].keys)
             tenants_by_key_.emplace(key, i);
+    for (const auto& tenant : config_.unusable_tenants)
+        keys_of_unusable_tenants_.insert(tenant.keys.begin(), tenant.keys.end());
 }
 
 const route* route_table::find(std::string_view host, std::string_view path) const
@@ -78,6 +80,11 @@
     return found == tenants_by_key_.end() ? nullptr : &config_.tenants[found->second];
 }
 
+bool route_table::is_key_of_unusable_tenant(const client_key& key) const
+{
+    return keys_of_unusable_tenants_.count(key) != 0;
+}
+
 std::map<quota_name, quota_limit> route_table::quotas() const
 {
     std::map<quota_name, quota_limit> result;
--- a/src/gateway/wire_format.cpp
+++ b/src/gateway/wire_format.cpp
@@ -27,6 +27,8 @@
         return "no_route";
     case rejection::unauthorized:
         return "unauthorized";
+    case rejection::unusable:
+        return "config_unusable";
     case rejection::no_config:
         return "no_config";
     case rejection::quota:
@@ -55,6 +57,7 @@
 {
     switch (value)
     {
+    case rejection::unusable:
     case rejection::no_config:
     case rejection::quota:
     case rejection::overload:
--- a/src/include/fescueridge/gateway/decision_log.hpp
+++ b/src/include/fescueridge/gateway/decision_log.hpp
@@ -22,6 +22,7 @@
     settings_unusable,
     config_applied,
     config_unusable,
+    config_value_unusable,
     log_lost,
     log_regained,
     log_restored,
--- a/src/include/fescueridge/gateway/routing_config.hpp
+++ b/src/include/fescueridge/gateway/routing_config.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "fescueridge/base/clock.hpp"
@@ -27,6 +28,9 @@
 /// A rule that routes requests of one host and path prefix to services.
 struct route
 {
+    /// Of a route whose own one cannot be used; the client's deadline is mostly shorter.
+    static constexpr milliseconds default_timeout{60'000};
+
     route_name name;
     std::string host;
     std::string path_prefix; ///< Begins and ends with a slash.
@@ -35,8 +39,8 @@
     milliseconds target_latency{0}; ///< Answers within this time have full value.
     routing_priority rank;
     unsigned max_servers = 1; ///< Maximum number of backend servers tried per request.
-    std::vector<weighted_target> targets;
-    bool anonymous = false; ///< Its requests need no key.
+    std::vector<weighted_target> targets; ///< None where they cannot be used.
+    bool anonymous = false;               ///< Its requests need no key.
 };
 
 /// A customer whose clients share keys, a priority and a quota.
@@ -52,22 +56,32 @@
 struct unusable_tenant
 {
     tenant_name name;
+    std::vector<client_key> keys; ///< Those that could be read.
+    std::string detail;
+};
+
+/// A value of a configuration that cannot be used. The rest of the configuration holds.
+struct config_fault
+{
+    std::string place; ///< The entry, for example `routes.r1`.
     std::string detail;
 };
 
 /// Settings of a service, made by operators.
 struct service_settings
 {
-    std::string health_path;
-    connection_count max_connections;
+    std::string health_path;          ///< Empty where there are no health checks.
+    connection_count max_connections; ///< 0 stands for no limit.
 };
 
 /// Limits on the size of client requests and on the time to receive them.
 struct client_limits
 {
     message_limits sizes;
-    milliseconds header_timeout{0};
-    milliseconds idle_timeout{0};
+    static constexpr milliseconds default_header_timeout{30'000};
+
+    milliseconds header_timeout = default_header_timeout;
+    milliseconds idle_timeout{0}; ///< 0 stands for none.
 
     /// Returns the size limits, with the body size capped at the maximum that a link
     /// between nodes can carry.
@@ -84,6 +98,7 @@
     bool requires_keys = false; ///< Requests need a key unless their route is anonymous.
     std::vector<tenant_settings> tenants;
     std::vector<unusable_tenant> unusable_tenants;
+    std::vector<config_fault> faults; ///< Those of unusable tenants are among them.
 };
 
 /// A routing configuration with an index of its routes. Immutable: each request keeps the
@@ -106,6 +121,9 @@
     /// Returns the tenant that holds a key, or null.
     const tenant_settings* find_tenant(const client_key& key) const;
 
+    /// Returns whether the key belongs to a tenant whose entry cannot be used.
+    bool is_key_of_unusable_tenant(const client_key& key) const;
+
     /// Returns the quotas of the tenants that have one.
     std::map<quota_name, quota_limit> quotas() const;
 
@@ -114,6 +132,7 @@
 private:
     routing_config config_;
     std::unordered_map<client_key, std::size_t> tenants_by_key_;
+    std::unordered_set<client_key> keys_of_unusable_tenants_;
     /// Indices of the routes of each host, longest prefix first.
     std::unordered_map<std::string, std::vector<std::size_t>> by_host_;
 };
--- a/src/include/fescueridge/gateway/wire_format.hpp
+++ b/src/include/fescueridge/gateway/wire_format.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <variant>
 
+#include "fescueridge/base/error.hpp"
 #include "fescueridge/gateway/routing_config.hpp"
 #include "fescueridge/transport/http.hpp"
 #include "fescueridge/transport/http_client_pool.hpp"
@@ -46,6 +47,7 @@
     bad_request,   ///< A required field is missing or malformed.
     no_route,      ///< No route matches the request.
     unauthorized,  ///< The request needs exactly one key that a tenant holds.
+    unusable,      ///< The configuration's entry for it cannot be used; not run.
     no_config,     ///< The node has no routing configuration yet; not run.
     quota,         ///< The tenant has used up its quota; not run.
     overload,      ///< The services behind the route lack capacity; not run.
@@ -85,6 +87,21 @@
 /// Returns whether the server states that it leaves.
 bool states_leaving(const server_announcement& announcement);
 
+/// A version of the configuration of which no part can be applied.
+class unusable_config : public codec_error
+{
+public:
+    unusable_config(config_version version, const std::string& detail)
+        : codec_error(detail), version_(version)
+    {
+    }
+
+    config_version version() const noexcept { return version_; }
+
+private:
+    config_version version_;
+};
+
 /// Interface to the formats used by clients, backend servers and operators: field names,
 /// status codes and encodings. Implementations only translate; they make no decisions.
 class wire_format
@@ -143,7 +160,9 @@
     /// Returns the answer to an accepted announcement.
     virtual http_response make_acknowledgement() const = 0;
 
-    /// Reads a routing configuration. Throws codec_error when it is invalid.
+    /// Reads a routing configuration; values that cannot be used are among its faults.
+    /// Throws unusable_config when no part can be applied, and codec_error when not even
+    /// its version can be read.
     virtual routing_config read_config(const std::string& content) const = 0;
 };
 
