Cut values beyond what a node can use instead of refusing them

Some values were read and overflowed later: a large rate of a server gave a limit of 0 requests, one of a tenant refused all its requests.

Change: times are cut to ten years (longest_time), counts, rates and amounts to what has an effect. Messages take all of these; amounts are cut when they are written. To a peer of the version before, times are sent as an hour at most, which it reads.

--- a/src/codec/gateway_codec.cpp
+++ b/src/codec/gateway_codec.cpp
@@ -9,8 +9,8 @@
 {
 
 constexpr std::int64_t max_32 = std::numeric_limits<std::uint32_t>::max();
-constexpr std::int64_t max_time_ms = 3'600'000;
-constexpr std::int64_t max_age_ms = 1'000'000 * max_time_ms;
+constexpr std::int64_t max_time_ms = longest_time.count();
+constexpr std::int64_t max_age_ms = 10 * max_time_ms;
 
 template <class... Fields>
 void append(json& out, Fields&&... fields)
@@ -44,9 +44,12 @@
 /// Amounts are written in thousandths: most bytes of a report are numbers.
 constexpr double thousandths = 1000;
 
+/// Larger amounts are cut to this one, which the reader's numbers hold.
+constexpr double max_amount = 1e15;
+
 json to_thousandths(double amount)
 {
-    return std::llround(amount * thousandths);
+    return std::llround(std::clamp(amount, 0.0, max_amount) * thousandths);
 }
 
 double from_thousandths(field_reader& in)
@@ -57,9 +60,8 @@
 /// A rate of 0 stands for no limit.
 json to_thousandths(const std::optional<call_rate>& rate)
 {
-    constexpr std::int64_t lowest = 1;
-    return rate ? std::max<std::int64_t>(lowest, std::llround(rate->get() * thousandths))
-                : 0;
+    constexpr double lowest = 1 / thousandths;
+    return rate ? to_thousandths(std::max(lowest, rate->get())) : json(0);
 }
 
 std::optional<call_rate> read_max_rate(field_reader& in)
--- a/src/codec/gateway_codec_test.cpp
+++ b/src/codec/gateway_codec_test.cpp
@@ -1,5 +1,7 @@
 #include <criterion/criterion.h>
 
+#include <limits>
+
 #include "fescueridge/base/error.hpp"
 #include "fescueridge/codec/messages.hpp"
 
@@ -201,6 +203,30 @@
     }
 }
 
+// Guards against links that are closed because of the timeout of a route, of a rate that
+// a server states, or of a quota of few requests a day.
+Test(gateway_codec, carries_the_largest_times_and_amounts)
+{
+    auto forward = make_forward();
+    forward.time_left = longest_time;
+    forward.target_latency = longest_time;
+    cr_expect(round_trip(forward).time_left == longest_time);
+    cr_expect(round_trip(forward).target_latency == longest_time);
+    auto report = make_report();
+    report.max_rate = call_rate(1e300);
+    report.service_ms = 1e300;
+    report.server->slots = slot_count(std::numeric_limits<std::uint32_t>::max());
+    report.server->sequence = std::numeric_limits<std::uint64_t>::max();
+    const auto read = round_trip(report);
+    cr_expect_geq(read.max_rate->get(), 1e15);
+    cr_expect_geq(read.service_ms, 1e15);
+    cr_expect(read.server->sequence == report.server->sequence);
+    report.max_rate = call_rate(1e-300);
+    cr_expect(round_trip(report).max_rate.has_value());
+    const quota_grant_message grant{quota_name("b"), 0, longest_time};
+    cr_expect(round_trip(grant).retry_after == longest_time);
+}
+
 // Nodes of two versions work together during an update: without tenants, the frames are
 // those of the version before, and a message that is not known is no fault.
 Test(gateway_codec, talks_to_the_version_before)
--- a/src/gateway/run_executor.cpp
+++ b/src/gateway/run_executor.cpp
@@ -114,7 +114,8 @@
 std::uint32_t run_executor::limit_for(slot_count slots) const
 {
     constexpr std::uint32_t percent = 100;
-    const auto spare = (slots.get() * spare_slots_percent + percent - 1) / percent;
+    const auto spare = static_cast<std::uint32_t>(
+        (std::uint64_t{slots.get()} * spare_slots_percent + percent - 1) / percent);
     return std::max(1U, slots.get() - std::min(spare, slots.get()));
 }
 
--- a/src/gateway/run_queue.cpp
+++ b/src/gateway/run_queue.cpp
@@ -96,7 +96,7 @@
     if (!rate_ || slot_ms() <= 0)
         return limit_;
     const double running = rate_->rate().get() * slot_ms() / ms_per_s;
-    return std::min(limit_, static_cast<std::uint32_t>(std::ceil(running)));
+    return running < limit_ ? static_cast<std::uint32_t>(std::ceil(running)) : limit_;
 }
 
 offer_decision run_queue::offer(const run_offer& run, time_point now)
--- a/src/gateway/run_queue_test.cpp
+++ b/src/gateway/run_queue_test.cpp
@@ -169,6 +169,9 @@
     record_slot_time(queue);
     queue.set_max_rate(call_rate(100), start);
     cr_expect_eq(queue.usable_limit(), 2U);
+    // 2^32 requests at 20 ms each, which the type of the limit does not hold.
+    queue.set_max_rate(call_rate(214'748'364'800.0), start);
+    cr_expect_eq(queue.usable_limit(), 50U);
     queue.set_max_rate(std::nullopt, start);
     cr_expect_eq(queue.usable_limit(), 50U);
 }
--- a/src/gateway/wide_values.cpp
+++ b/src/gateway/wide_values.cpp
@@ -1,5 +1,7 @@
 #include "wide_values.hpp"
 
+#include <algorithm>
+
 #include "fescueridge/base/overloaded.hpp"
 
 namespace fescueridge::gateway
@@ -39,7 +41,13 @@
 
 link_message with_compact_values(link_message message, const rank_scale& scale)
 {
+    constexpr milliseconds longest{3'600'000};
     change_ranks(message, [&](request_rank& rank) { rank = scale.compacted(rank); });
+    if (auto* forward = std::get_if<forward_message>(&message))
+    {
+        forward->time_left = std::min(forward->time_left, longest);
+        forward->target_latency = std::min(forward->target_latency, longest);
+    }
     return message;
 }
 
--- a/src/gateway/wide_values_test.cpp
+++ b/src/gateway/wide_values_test.cpp
@@ -23,6 +23,8 @@
 {
     forward_message message;
     message.rank = request_rank(routing_priority(priority));
+    message.time_left = milliseconds{20 * 86'400'000LL};
+    message.target_latency = milliseconds{10 * 86'400'000LL};
     return message;
 }
 
@@ -32,6 +34,7 @@
 // and against an order that is lost there, while a fleet is updated.
 Test(wide_values, are_sent_to_the_version_before_as_it_reads_them)
 {
+    constexpr std::int64_t longest_ms = 3'600'000;
     const rank_scale scale(make_config());
     std::vector<request_rank> sent;
     for (const std::uint64_t priority : {12, 4'000})
@@ -39,6 +42,8 @@
         const auto message =
             std::get<forward_message>(with_compact_values(make_forward(priority), scale));
         cr_expect(is_compact(message.rank));
+        cr_expect_leq(message.time_left.count(), longest_ms);
+        cr_expect_leq(message.target_latency.count(), longest_ms);
         sent.push_back(message.rank);
     }
     cr_expect(sent[0] < sent[1]);
--- a/src/include/fescueridge/base/clock.hpp
+++ b/src/include/fescueridge/base/clock.hpp
@@ -9,6 +9,10 @@
 /// A length of time in milliseconds.
 using milliseconds = std::chrono::milliseconds;
 
+/// Longest time that is counted: ten years, more than any process runs. Longer ones are
+/// cut to it, so that sums with instants of any clock cannot overflow.
+constexpr milliseconds longest_time{std::int64_t{10} * 365 * 24 * 3'600'000};
+
 /// The project's clock: monotonic, in milliseconds, unaffected by changes of the wall
 /// clock. It keeps running while the process is stopped by a signal, so a process that
 /// wakes up sees that its deadlines have passed.
--- a/src/include/fescueridge/codec/gateway_messages.hpp
+++ b/src/include/fescueridge/codec/gateway_messages.hpp
@@ -19,7 +19,7 @@
 /// server, and what the nodes tell each other about themselves.
 
 /// Revision of these messages that a node reads, which it states in its hello. The first
-/// one has compact ranks only.
+/// one has compact ranks, and times of an hour at most.
 enum class link_revision : std::uint8_t
 {
     compact_values, ///< Nodes until December 2026.
--- a/src/overload/quota_exchange.cpp
+++ b/src/overload/quota_exchange.cpp
@@ -403,7 +403,8 @@
     if (!part)
         return {ask.quota, 0, unanswered_pause};
     const auto tokens = part->take(ask.tokens, now);
-    return {ask.quota, tokens, tokens > 0 ? milliseconds{0} : part->time_to_token(now)};
+    const auto pause = std::min(part->time_to_token(now), max_empty_pause);
+    return {ask.quota, tokens, tokens > 0 ? milliseconds{0} : pause};
 }
 
 void quota_exchange::on_grant(const node_id& from, const quota_grant_message& grant,
