--- a/src/gateway/gateway_node_config.cpp
+++ b/src/gateway/gateway_node_config.cpp
@@ -7,6 +7,17 @@
 
 namespace fescueridge::gateway
 {
+namespace
+{
+
+/// Returns how many faults of a configuration are told one by one.
+std::size_t listed_faults(const routing_config& config)
+{
+    constexpr std::size_t most = 20;
+    return std::min(config.faults.size(), most);
+}
+
+} // namespace
 
 void gateway_node::impl::apply_config(const std::string& content,
                                       const std::string& source)
@@ -72,11 +83,12 @@
                                     const std::string& source)
 {
     const auto version = static_cast<std::int64_t>(config.version.get());
-    for (const auto& fault : config.faults)
-        decisions_.record(log_event::config_value_unusable, {{"version", version},
-                                                             {"source", source},
-                                                             {"place", fault.place},
-                                                             {"detail", fault.detail}});
+    for (std::size_t i = 0; i < listed_faults(config); ++i)
+        decisions_.record(log_event::config_value_unusable,
+                          {{"version", version},
+                           {"source", source},
+                           {"place", config.faults[i].place},
+                           {"detail", config.faults[i].detail}});
     for (const auto& tenant : config.unusable_tenants)
         decisions_.record(log_event::config_unusable, {{"source", source},
                                                        {"tenant", tenant.name.get()},
@@ -98,17 +110,17 @@
 // For operators, whose call was answered before any node had read the configuration.
 std::string gateway_node::impl::describe_config() const
 {
-    constexpr std::size_t max_listed_faults = 20;
     std::string text = fmt::format("configuration {}\n", version_in_force().get());
     if (unusable_version_ > config_version(0))
         text += fmt::format("configuration {} cannot be used\n", unusable_version_.get());
     if (!table_)
         return text;
     const auto& faults = table_->config().faults;
-    for (std::size_t i = 0; i < std::min(faults.size(), max_listed_faults); ++i)
+    const auto listed = listed_faults(table_->config());
+    for (std::size_t i = 0; i < listed; ++i)
         text += fmt::format("unusable: {}: {}\n", faults[i].place, faults[i].detail);
-    if (faults.size() > max_listed_faults)
-        text += fmt::format("and {} more\n", faults.size() - max_listed_faults);
+    if (faults.size() > listed)
+        text += fmt::format("and {} more\n", faults.size() - listed);
     return text;
 }
 
